--- /dev/null
+++ b/src/bramleyworks/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/src/bramleyworks/console/__init__.py
@@ -0,0 +1,1 @@
+"""The console of forms for operators."""
--- /dev/null
+++ b/src/bramleyworks/document/__init__.py
@@ -0,0 +1,1 @@
+"""The intended state that operators apply as one validated document."""
--- /dev/null
+++ b/src/bramleyworks/document/drain.py
@@ -0,0 +1,18 @@
+"""A planned drain."""
+
+from typing import Literal
+
+import msgspec
+
+
+class Drain(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Keeps new work away from a part of the fleet.
+
+    Attributes:
+        kind: What is drained.
+        target: Name of the upstream, region or VM, or ``REGION/NAME`` of a
+            failure domain.
+    """
+
+    kind: Literal["upstream", "failure_domain", "region", "vm"]
+    target: str
--- /dev/null
+++ b/src/bramleyworks/errors.py
@@ -0,0 +1,45 @@
+"""The exception family of the project."""
+
+
+class BramleyworksError(Exception):
+    """Root of all errors raised by the project.
+
+    Attributes:
+        step: The step that failed, for example ``"store.read"``.
+        peer: The address or name of the other side, ``"-"`` if there is none.
+        reason: What went wrong, in one sentence without secrets.
+    """
+
+    def __init__(self, step: str, peer: str, reason: str):
+        super().__init__(f"{step}: {peer}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+
+
+class SettingsError(BramleyworksError):
+    """The settings file has unknown, missing or invalid values."""
+
+
+class DocumentError(BramleyworksError):
+    """A document can not be decoded or breaks a rule."""
+
+
+class MessageError(BramleyworksError):
+    """A message from another daemon is malformed."""
+
+
+class StoreError(BramleyworksError):
+    """The store is unreachable or refused a call."""
+
+
+class StoreConflictError(StoreError):
+    """A compare-and-swap found another revision than the expected one."""
+
+
+class StoreUnknownError(StoreError):
+    """A write may or may not have taken effect; read back to find out."""
+
+
+class PlatformError(BramleyworksError):
+    """A platform endpoint other than the store failed."""
--- /dev/null
+++ b/src/bramleyworks/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between daemons and their codec."""
--- /dev/null
+++ b/src/bramleyworks/messages/slot_loan.py
@@ -0,0 +1,19 @@
+"""Loan of a slot for one request."""
+
+import msgspec
+
+
+class SlotLoan(msgspec.Struct, frozen=True, tag="slot_loan"):
+    """Loan of one slot of one upstream for one request.
+
+    Attributes:
+        ask_id: Id of the ask it answers.
+        loan_id: Id of the loan at the owner.
+        upstream: Name of the upstream.
+        lifetime_s: Seconds after the ask was sent until the loan ends.
+    """
+
+    ask_id: int
+    loan_id: int
+    upstream: str
+    lifetime_s: float
--- /dev/null
+++ b/src/bramleyworks/messages/slot_refuse.py
@@ -0,0 +1,15 @@
+"""Refusal of a slot."""
+
+import msgspec
+
+
+class SlotRefuse(msgspec.Struct, frozen=True, tag="slot_refuse"):
+    """The owner has no slot to lend.
+
+    Attributes:
+        ask_id: Id of the ask it answers.
+        reason: Why.
+    """
+
+    ask_id: int
+    reason: str
--- /dev/null
+++ b/src/bramleyworks/messages/slot_release.py
@@ -0,0 +1,15 @@
+"""End of a slot loan."""
+
+import msgspec
+
+
+class SlotRelease(msgspec.Struct, frozen=True, tag="slot_release"):
+    """The request that used the slot has ended.
+
+    Attributes:
+        loan_id: Id of the loan at the owner.
+        failed: Whether the upstream failed.
+    """
+
+    loan_id: int
+    failed: bool = False
--- /dev/null
+++ b/src/bramleyworks/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the services of the platform."""
--- /dev/null
+++ b/src/bramleyworks/platform/store_lease.py
@@ -0,0 +1,21 @@
+"""A lease held in the store."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreLease:
+    """A lease and its fencing token.
+
+    Attributes:
+        name: Name of the lease.
+        holder: Who holds it.
+        token: Fencing token; grows with each change of holder.
+        expires_s: Monotonic time of this process at which it ends, counted
+            from before the call was sent.
+    """
+
+    name: str
+    holder: str
+    token: int
+    expires_s: float
--- /dev/null
+++ b/src/bramleyworks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets, tasks, clocks or random sources."""
--- /dev/null
+++ b/src/bramleyworks_lab/__init__.py
@@ -0,0 +1,1 @@
+"""A model of the systems served, with experiments and benchmarks."""
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,1 @@
+"""Runs a small fleet on loopback and shows what it serves."""
