--- /dev/null
+++ b/src/bramleyworks/daemon/peer_link.py
@@ -0,0 +1,144 @@
+"""The message link to the other daemons."""
+
+import collections
+import contextlib
+import time
+from collections.abc import Callable
+
+import zmq
+import zmq.asyncio
+from absl import logging
+
+from bramleyworks.daemon import identity
+from bramleyworks.messages import codec
+
+SEND_QUEUE_MESSAGES = 1000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+IDENTITY_SEPARATOR = "/"
+
+Handler = Callable[[str, codec.Message], None]
+
+
+class PeerLink:
+    """Sends and receives messages; owns the sockets.
+
+    Messages may be lost, and arrive in order per sender otherwise. A handler
+    is called on the event loop with the name of the sending VM, returns
+    quickly and does not raise.
+
+    Attributes:
+        counts: Messages and bytes sent and received, and messages dropped.
+    """
+
+    def __init__(self, me: identity.Identity):
+        self._me = me
+        self._context = zmq.asyncio.Context()
+        self._handlers: dict[type, Handler] = {}
+        self._dealers: dict[str, tuple[str, zmq.Socket]] = {}
+        self._router: zmq.asyncio.Socket | None = None
+        self._stack = contextlib.ExitStack()
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def register(self, kind: type, handler: Handler) -> None:
+        """Sets the handler of one message type."""
+        self._handlers[kind] = handler
+
+    def bind(self) -> None:
+        """Opens the receiving socket at the identity's peer address."""
+        self._stack.callback(self._context.destroy, linger=0)
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._router.setsockopt(zmq.MAXMSGSIZE, codec.MAX_MESSAGE_BYTES)
+        self._router.bind(f"tcp://{self._me.peer}")
+
+    def connect(self, name: str, address: str) -> None:
+        """Opens or moves the connection to a VM; cheap if unchanged.
+
+        Args:
+            name: Name of the VM, or ``"seed:ADDRESS"`` for an address whose
+                name is not known yet.
+            address: ``IP:PORT`` of its peer link.
+        """
+        known = self._dealers.get(name)
+        if known and known[0] == address:
+            return
+        if known:
+            known[1].close(linger=0)
+        # Sends never wait, so the plain socket spares the asyncio wrapper's
+        # bookkeeping for each message.
+        sock = zmq.Socket(self._context, zmq.DEALER)
+        sock.setsockopt(
+            zmq.IDENTITY,
+            IDENTITY_SEPARATOR.join(
+                (self._me.vm_id, self._me.incarnation)
+            ).encode(),
+        )
+        sock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.connect(f"tcp://{address}")
+        self._dealers[name] = (address, sock)
+
+    def disconnect(self, name: str) -> None:
+        """Closes the connection to a VM."""
+        known = self._dealers.pop(name, None)
+        if known:
+            known[1].close(linger=0)
+
+    def send(self, name: str, msg: codec.Message) -> bool:
+        """Sends without waiting.
+
+        Returns:
+            False if the VM is not connected or its queue is full; then the
+            message was certainly not sent.
+        """
+        known = self._dealers.get(name)
+        if not known:
+            return False
+        data = codec.encode(msg)
+        try:
+            known[1].send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self.counts["dropped"] += 1
+            return False
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(data)
+        return True
+
+    async def run(self) -> None:
+        """Receives messages until cancelled."""
+        while True:
+            frames = await self._router.recv_multipart()
+            if len(frames) != 2:
+                self.counts["malformed"] += 1
+                continue
+            self._dispatch(frames[0], frames[1])
+
+    def _dispatch(self, sender: bytes, data: bytes) -> None:
+        name = sender.decode("utf-8", "replace").split(IDENTITY_SEPARATOR)[0]
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(data)
+        decoded = codec.decode(data, name)
+        if decoded.is_err():
+            self.counts["malformed"] += 1
+            logging.warning("message dropped: %s", decoded.unwrap_err())
+            return
+        msg = decoded.unwrap()
+        handler = self._handlers.get(type(msg))
+        if handler is not None:
+            started = time.perf_counter()
+            handler(name, msg)
+            self.counts["handler_us"] += int(
+                (time.perf_counter() - started) * 1e6
+            )
+
+    def close(self) -> None:
+        """Closes all sockets; messages not yet sent are dropped."""
+        for _, sock in self._dealers.values():
+            sock.close(linger=0)
+        self._dealers.clear()
+        if self._router is not None:
+            self._router.close(linger=0)
+        self._stack.close()
