--- /dev/null
+++ b/tests/support/fake_link.py
@@ -0,0 +1,51 @@
+"""A message link between tasks in one process."""
+
+from bramleyworks.messages import codec
+
+
+class FakeNetwork:
+    """Holds messages until the test delivers, drops or repeats them.
+
+    Attributes:
+        pending: Tuples of sender, receiver and encoded message.
+        cut: Pairs of sender and receiver whose messages are lost.
+    """
+
+    def __init__(self):
+        self.links = {}
+        self.pending = []
+        self.cut = set()
+
+    def link(self, name):
+        self.links[name] = FakeLink(self, name)
+        return self.links[name]
+
+    def deliver(self, index=0):
+        """Delivers one pending message."""
+        sender, receiver, data = self.pending.pop(index)
+        if (sender, receiver) in self.cut or receiver not in self.links:
+            return
+        msg = codec.decode(data, sender).unwrap()
+        handler = self.links[receiver].handlers.get(type(msg))
+        if handler:
+            handler(sender, msg)
+
+    def deliver_all(self):
+        while self.pending:
+            self.deliver()
+
+
+class FakeLink:
+    """Has the methods of daemon.peer_link.PeerLink that tasks use."""
+
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+        self.handlers = {}
+
+    def register(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, name, msg):
+        self._network.pending.append((self._name, name, codec.encode(msg)))
+        return True
--- /dev/null
+++ b/tests/support/virtual_clock.py
@@ -0,0 +1,14 @@
+"""A clock that tests move by hand."""
+
+
+class VirtualClock:
+    """Stands in for time.monotonic and time.time."""
+
+    def __init__(self, now_s: float = 1000.0):
+        self.now_s = now_s
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    def advance(self, seconds: float) -> None:
+        self.now_s += seconds
