Add membership, configuration, freshness, look-up and forwarding parts

Cause: the request path and the distribution of configurations are the core that the other tasks attach to.

--- /dev/null
+++ b/src/bramleyworks/daemon/answer.py
@@ -0,0 +1,71 @@
+"""Answers on their way to the caller."""
+
+import aiohttp
+
+from bramleyworks.daemon import call
+from bramleyworks.daemon import headers
+
+STORED_BODY_BYTES = 64 * 1024
+
+
+class Answer:
+    """Streams an upstream's answer to the caller.
+
+    Attributes:
+        status: Status of the answer.
+        headers: End-to-end headers of the answer.
+        stored: The body if it has at most ``STORED_BODY_BYTES``, else None;
+            complete once ``stream`` has returned.
+        started: Whether its head went to the caller.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse):
+        self._response = response
+        self.status = response.status
+        self.headers = headers.to_caller(response.raw_headers)
+        self.stored: bytes | None = b""
+        self.started = False
+
+    async def stream(self, item: call.Call, draining: bool) -> None:
+        """Sends the whole answer with bounded buffers.
+
+        Raises:
+            aiohttp.ClientError: The upstream broke off.
+        """
+        content = self._response.content
+        chunk = await content.readany()
+        # The head waits for the first bytes, so that an upstream that fails
+        # before them can still be replaced.
+        await item.send(self._head(item, draining))
+        self.started = True
+        while not content.at_eof():
+            self._store(chunk)
+            await item.send(
+                {
+                    "type": "http.response.body",
+                    "body": chunk,
+                    "more_body": True,
+                }
+            )
+            chunk = await content.readany()
+        self._store(chunk)
+        self._response.release()
+        await item.send({"type": "http.response.body", "body": chunk})
+
+    def _head(self, item: call.Call, draining: bool) -> dict:
+        raw = [*self.headers, *item.extra_headers]
+        if draining:
+            raw.append((b"connection", b"close"))
+        return {
+            "type": "http.response.start",
+            "status": self.status,
+            "headers": raw,
+        }
+
+    def _store(self, chunk: bytes) -> None:
+        if self.stored is None:
+            return
+        if len(self.stored) + len(chunk) > STORED_BODY_BYTES:
+            self.stored = None
+        else:
+            self.stored += chunk
--- /dev/null
+++ b/src/bramleyworks/daemon/config_task.py
@@ -0,0 +1,273 @@
+"""Keeps the newest configuration and knows whether it is fresh."""
+
+import asyncio
+import hashlib
+import random
+import time
+import zlib
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import peer_link
+from bramleyworks.document import codec
+from bramleyworks.document import delta
+from bramleyworks.document import stored_config
+from bramleyworks.messages import announce
+from bramleyworks.messages import config_delta
+from bramleyworks.messages import config_whole
+from bramleyworks.messages import pull_config
+from bramleyworks.platform import store
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import freshness
+from bramleyworks.policy import member_table
+from bramleyworks.policy import relay_tree
+
+# Evidence is confirmed at the time a watch was sent; with heartbeats at 1 Hz
+# on top, a wait of 0.5 s keeps relayed evidence under FRESH_S.
+WATCH_WAIT_S = 0.5
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+PULL_RETRY_S = 0.5
+IDLE_S = 0.5
+KEPT_VERSIONS = 16
+MAX_CONFIG_BYTES = 1024 * 1024
+
+
+class ConfigTask:
+    """Owns the configuration in force; versions only grow.
+
+    Attributes:
+        current: The newest configuration, None before the first one.
+        joined: Whether it has been fresh since this process started.
+        store_failed_s: Monotonic time since which the store has not answered,
+            None while it answers or is not used.
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        link: peer_link.PeerLink,
+        kv: store.Store,
+        members: member_table.MemberTable,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ):
+        self._me = me
+        self._link = link
+        self._kv = kv
+        self._members = members
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._view = fleet_view.FleetView(me.vm_id, {})
+        self._neighbours: frozenset[str] = frozenset()
+        self._listeners: list[Callable[[stored_config.StoredConfig], None]] = []
+        self._past: dict[int, bytes] = {}
+        self._own_read_s = float("-inf")
+        self._confirmed_s = float("-inf")
+        self._pulled_s: dict[str, float] = {}
+        self._revision = 0
+        self.current: stored_config.StoredConfig | None = None
+        self.joined = False
+        self.store_failed_s: float | None = None
+        link.register(announce.Announce, self._on_announce)
+        link.register(pull_config.PullConfig, self._on_pull)
+        link.register(config_delta.ConfigDelta, self._on_delta)
+        link.register(config_whole.ConfigWhole, self._on_whole)
+
+    def subscribe(
+        self, listener: Callable[[stored_config.StoredConfig], None]
+    ) -> None:
+        """Calls a function with each newer configuration."""
+        self._listeners.append(listener)
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 for none."""
+        return self.current.version if self.current else 0
+
+    def fresh_age_s(self) -> float:
+        """Returns the age of the newest store read known, in seconds."""
+        known = [self._own_read_s]
+        for item in self._members.members().values():
+            known.append(item.state_s - max(0.0, item.beat.fresh_age_s))
+        return min(1e6, self._clock() - max(known))
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Returns whether routes that need a key may be served."""
+        return freshness.is_fresh(self._confirmed_s, now_s)
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Does nothing; this task is the source of configurations."""
+
+    def on_fleet(self, view: fleet_view.FleetView) -> None:
+        """Takes the members to exchange configurations with."""
+        self._view = view
+        self._neighbours = relay_tree.neighbours(
+            list(view.live), self._me.vm_id
+        )
+
+    def on_heartbeat(self, sender: str, version: int) -> None:
+        """Renews the evidence and pulls if the sender has a newer version."""
+        self._renew()
+        if version > self.version:
+            self._pull(sender)
+
+    async def run(self) -> None:
+        """Watches the store while this VM is one of its region's watchers."""
+        failures = 0
+        while True:
+            if not self._is_watcher():
+                self.store_failed_s = None
+                await asyncio.sleep(IDLE_S)
+                continue
+            try:
+                await self._watch_once()
+                failures = 0
+                self.store_failed_s = None
+            except errors.StoreError as exc:
+                if self.store_failed_s is None:
+                    self.store_failed_s = self._clock()
+                    logging.warning("configuration not read: %s", exc)
+                failures += 1
+                delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**failures)
+                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
+
+    def _is_watcher(self) -> bool:
+        """Returns whether this VM watches the store now.
+
+        A VM without peers or without configuration reads for itself.
+        """
+        if self.current is None or not self._view.live:
+            return True
+        names = [
+            name
+            for name, item in self._view.live.items()
+            if item.beat.region == self._me.region
+        ]
+        return self._me.vm_id in relay_tree.watchers(
+            [*names, self._me.vm_id], self._me.region
+        )
+
+    async def _watch_once(self) -> None:
+        sent_s = self._clock()
+        entry = await self._kv.watch(
+            stored_config.CONFIG_KEY, self._revision, WATCH_WAIT_S
+        )
+        if entry is not None:
+            decoded = codec.decode_stored(entry.value, "store")
+            if decoded.is_err():
+                logging.error("configuration ignored: %s", decoded.unwrap_err())
+                self._revision = entry.revision
+                return
+            self.offer(decoded.unwrap(), entry.value)
+            self._revision = entry.revision
+        if self.current is not None and self._revision:
+            self._own_read_s = max(self._own_read_s, sent_s)
+            self._renew()
+
+    def offer(self, stored: stored_config.StoredConfig, data: bytes) -> bool:
+        """Takes a configuration into force if it is newer.
+
+        Args:
+            stored: The configuration.
+            data: Its encoding.
+
+        Returns:
+            Whether it was newer.
+        """
+        if stored.version <= self.version:
+            return False
+        self.current = stored
+        self._past[stored.version] = data
+        while len(self._past) > KEPT_VERSIONS:
+            del self._past[min(self._past)]
+        logging.info("configuration version %d is in force", stored.version)
+        for listener in self._listeners:
+            listener(stored)
+        for name in self._neighbours:
+            self._link.send(name, announce.Announce(stored.version))
+        self._renew()
+        return True
+
+    def _renew(self) -> None:
+        now_s = self._clock()
+        self._confirmed_s = freshness.confirmed_s(
+            self.version,
+            self._own_read_s,
+            self._members.members(),
+            self._view.listed,
+            self._me.vm_id,
+            self.joined,
+            now_s,
+        )
+        if not self.joined and self.is_fresh(now_s):
+            self.joined = True
+
+    def _pull(self, name: str) -> None:
+        now_s = self._clock()
+        if now_s - self._pulled_s.get(name, float("-inf")) < PULL_RETRY_S:
+            return
+        self._pulled_s[name] = now_s
+        self._link.send(name, pull_config.PullConfig(self.version))
+
+    def _on_announce(self, sender: str, msg: announce.Announce) -> None:
+        if msg.version > self.version:
+            self._pulled_s.pop(sender, None)
+            self._pull(sender)
+
+    def _on_pull(self, sender: str, msg: pull_config.PullConfig) -> None:
+        if self.current is None or msg.have_version >= self.version:
+            return
+        data = self._past[self.version]
+        base = self._past.get(msg.have_version)
+        if base is None:
+            whole = config_whole.ConfigWhole(self.version, zlib.compress(data))
+            self._link.send(sender, whole)
+            return
+        old = codec.decode_stored(base, "self").unwrap()
+        self._link.send(
+            sender,
+            config_delta.ConfigDelta(
+                base_version=msg.have_version,
+                version=self.version,
+                digest=hashlib.sha256(
+                    codec.encode_stored(self.current)
+                ).hexdigest(),
+                ops=delta.make(old, self.current),
+            ),
+        )
+
+    def _on_delta(self, sender: str, msg: config_delta.ConfigDelta) -> None:
+        if self.current is None or msg.base_version != self.version:
+            return
+        applied = delta.apply(self.current, msg.ops)
+        if applied.is_ok():
+            stored = applied.unwrap()
+            data = codec.encode_stored(stored)
+            if hashlib.sha256(data).hexdigest() == msg.digest:
+                self.offer(stored, data)
+                return
+        logging.warning(
+            "delta from %s to version %d does not apply; asking for the whole",
+            sender,
+            msg.version,
+        )
+        self._link.send(sender, pull_config.PullConfig(0))
+
+    def _on_whole(self, sender: str, msg: config_whole.ConfigWhole) -> None:
+        inflate = zlib.decompressobj()
+        try:
+            data = inflate.decompress(msg.data, MAX_CONFIG_BYTES)
+        except zlib.error as exc:
+            logging.warning(
+                "configuration from %s is malformed: %s", sender, exc
+            )
+            return
+        decoded = codec.decode_stored(data, sender)
+        if decoded.is_err():
+            logging.warning("configuration ignored: %s", decoded.unwrap_err())
+            return
+        self.offer(decoded.unwrap(), data)
--- /dev/null
+++ b/src/bramleyworks/daemon/forward_failure.py
@@ -0,0 +1,22 @@
+"""Why a request got no answer from an upstream."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardFailure:
+    """A request without a usable answer.
+
+    Attributes:
+        not_run: Whether the upstream has certainly not run it.
+        shed: Whether the upstream itself refused it for lack of capacity.
+        timed_out: Whether the deadline passed.
+        peer: Name of the upstream.
+        reason: What went wrong.
+    """
+
+    not_run: bool
+    peer: str
+    reason: str
+    shed: bool = False
+    timed_out: bool = False
--- /dev/null
+++ b/src/bramleyworks/daemon/forwarder.py
@@ -0,0 +1,133 @@
+"""Sends requests to upstreams."""
+
+import contextlib
+from collections.abc import AsyncIterable
+
+import aiohttp
+import multidict
+import result
+import yarl
+
+from bramleyworks.daemon import forward_failure
+from bramleyworks.daemon import upstream_connector
+
+CONNECT_TIMEOUT_S = 2.0
+READ_BUFFER_BYTES = 64 * 1024
+KEEPALIVE_S = 15.0
+NOT_RUN_HEADER = "X-Not-Run"
+REQUEST_ID_HEADER = "X-Request-Id"
+
+Answer = result.Result[aiohttp.ClientResponse, forward_failure.ForwardFailure]
+
+
+class Forwarder:
+    """Owns the connections to the upstreams."""
+
+    def __init__(self):
+        self._stack = contextlib.AsyncExitStack()
+        self._pooled: aiohttp.ClientSession | None = None
+        self._single: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Opens the connection pools."""
+        self._pooled = await self._session(
+            upstream_connector.UpstreamConnector(
+                limit=0, keepalive_timeout=KEEPALIVE_S
+            )
+        )
+        self._single = await self._session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+
+    async def _session(
+        self, connector: aiohttp.TCPConnector
+    ) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=READ_BUFFER_BYTES,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+        # The library repeats PUT and DELETE after a lost connection, which
+        # would run a non-idempotent request twice.
+        session._retry_connection = False
+        return await self._stack.enter_async_context(session)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._stack.aclose()
+
+    async def send(
+        self,
+        peer: str,
+        base_url: str,
+        method: str,
+        target: str,
+        headers: multidict.CIMultiDict[str],
+        body: bytes | AsyncIterable[bytes] | None,
+        idempotent: bool,
+    ) -> Answer:
+        """Sends one request and waits for the head of the answer.
+
+        The caller bounds the time and closes or releases the answer. If it is
+        cancelled the connection is closed, not reused.
+
+        Args:
+            peer: Name of the upstream.
+            base_url: Base URL of the upstream.
+            method: HTTP method.
+            target: Path and query as the caller sent them.
+            headers: End-to-end headers.
+            body: The body, None for none.
+            idempotent: Whether a pooled connection may be used. On a pooled
+                connection that the upstream closes meanwhile it would stay
+                unknown whether a request was run.
+        """
+        session = self._pooled if idempotent else self._single
+        url = yarl.URL(base_url + target, encoded=True)
+        try:
+            answer = await session.request(
+                method, url, headers=headers, data=body, allow_redirects=False
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+        ) as exc:
+            return _failure(peer, exc, not_run=True)
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            return _failure(peer, exc, not_run=False)
+        return await _checked(peer, headers, answer)
+
+
+async def _checked(
+    peer: str,
+    headers: multidict.CIMultiDict[str],
+    answer: aiohttp.ClientResponse,
+) -> Answer:
+    """Refuses an answer that is a shed notice or another request's."""
+    request_id = headers.get(REQUEST_ID_HEADER)
+    if answer.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
+        answer.close()
+        return result.Err(
+            forward_failure.ForwardFailure(
+                False, peer, "the answer belongs to another request"
+            )
+        )
+    if answer.status == 503 and answer.headers.get(NOT_RUN_HEADER) == "1":
+        answer.release()
+        return result.Err(
+            forward_failure.ForwardFailure(
+                True, peer, "the upstream shed the request", shed=True
+            )
+        )
+    return result.Ok(answer)
+
+
+def _failure(peer: str, exc: BaseException, not_run: bool) -> Answer:
+    reason = f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
+    return result.Err(forward_failure.ForwardFailure(not_run, peer, reason))
--- /dev/null
+++ b/src/bramleyworks/daemon/headers.py
@@ -0,0 +1,96 @@
+"""Header rules for requests to upstreams and answers to callers."""
+
+import multidict
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+KEY_HEADERS = frozenset((b"authorization", b"x-api-key"))
+# Values that only this system may set.
+RESERVED = frozenset(
+    (
+        b"x-organisation",
+        b"x-request-id",
+        b"x-deadline-ms",
+        b"x-forwarded-by",
+        b"x-outcome",
+    )
+)
+_NOT_FORWARDED = HOP_BY_HOP | KEY_HEADERS | RESERVED | {b"host", b"expect"}
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+
+def keys(raw: RawHeaders) -> list[bytes]:
+    """Returns every key in the request's headers, at most one is legal."""
+    found = []
+    for name, value in raw:
+        if name == b"x-api-key":
+            found.append(value.strip())
+        elif name == b"authorization":
+            scheme, _, token = value.partition(b" ")
+            if scheme.lower() == b"bearer":
+                found.append(token.strip())
+    return found
+
+
+def size(raw: RawHeaders) -> int:
+    """Returns the bytes of all names and values."""
+    return sum(len(name) + len(value) for name, value in raw)
+
+
+def first(raw: RawHeaders, wanted: bytes) -> bytes | None:
+    """Returns the first value of a header, None if it is absent."""
+    for name, value in raw:
+        if name == wanted:
+            return value
+    return None
+
+
+def to_upstream(
+    raw: RawHeaders, key: bytes | None
+) -> multidict.CIMultiDict[str]:
+    """Returns the end-to-end headers without the caller's key.
+
+    Args:
+        raw: Headers as received, names in lower case.
+        key: The caller's key; a header that repeats it is dropped too.
+    """
+    dropped = _NOT_FORWARDED | _named_by_connection(raw)
+    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in raw:
+        if name in dropped or (key and key in value):
+            continue
+        headers.add(name.decode("latin-1"), value.decode("latin-1"))
+    return headers
+
+
+def to_caller(raw: tuple[tuple[bytes, bytes], ...]) -> RawHeaders:
+    """Returns the end-to-end headers of an upstream's answer."""
+    lowered = [(name.lower(), value) for name, value in raw]
+    dropped = HOP_BY_HOP | _named_by_connection(lowered) | {b"x-outcome"}
+    return [item for item in lowered if item[0] not in dropped]
+
+
+def _named_by_connection(raw: RawHeaders) -> frozenset[bytes]:
+    for name, _ in raw:
+        if name == b"connection":
+            break
+    else:
+        return frozenset()
+    return frozenset(
+        part.strip().lower()
+        for name, value in raw
+        if name == b"connection"
+        for part in value.split(b",")
+    ) - {b"content-length", b"content-type"}
--- /dev/null
+++ b/src/bramleyworks/daemon/member_task.py
@@ -0,0 +1,163 @@
+"""Exchanges heartbeats and reads the platform's VM list."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import heartbeat_source
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import peer_link
+from bramleyworks.messages import heartbeat
+from bramleyworks.platform import vm_list
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member_table
+from bramleyworks.policy import relay_tree
+
+HEARTBEAT_S = 1.0
+RANDOM_PEERS = 2
+LIST_READ_S = 2.0
+# A VM that the list no longer holds is forgotten after this silence, so that
+# its connection is closed.
+FORGET_S = 60.0
+
+
+class MemberTask:
+    """Owns the members and the sequence of our heartbeats."""
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        link: peer_link.PeerLink,
+        listing: vm_list.VmList,
+        table: member_table.MemberTable,
+        source: heartbeat_source.HeartbeatSource,
+        seeds: tuple[str, ...],
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ):
+        self._me = me
+        self._link = link
+        self._listing = listing
+        self._table = table
+        self._source = source
+        self._seeds = [seed for seed in seeds if seed != me.peer]
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._sequence = 0
+        self._listed: frozenset[str] | None = None
+        self._leaving: frozenset[str] = frozenset()
+        self._listeners: list[Callable[[fleet_view.FleetView], None]] = []
+        self._beat_listeners: list[Callable[[heartbeat.Heartbeat], None]] = []
+        link.register(heartbeat.Heartbeat, self._on_heartbeat)
+
+    def subscribe(
+        self, listener: Callable[[fleet_view.FleetView], None]
+    ) -> None:
+        """Calls a function with each new view, about once a second."""
+        self._listeners.append(listener)
+
+    def subscribe_beats(
+        self, listener: Callable[[heartbeat.Heartbeat], None]
+    ) -> None:
+        """Calls a function with each heartbeat accepted."""
+        self._beat_listeners.append(listener)
+
+    def view(self) -> fleet_view.FleetView:
+        """Returns the view of the fleet now."""
+        return self._table.view(self._clock(), self._listed, self._leaving)
+
+    async def run(self) -> None:
+        """Sends heartbeats and reads the list until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._beat())
+            group.create_task(self._read_list())
+
+    async def _beat(self) -> None:
+        while True:
+            self.beat_now()
+            view = self.view()
+            for listener in self._listeners:
+                listener(view)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def beat_now(self) -> None:
+        """Sends one heartbeat to each neighbour."""
+        self._forget_gone()
+        now_s = self._clock()
+        self._sequence += 1
+        self._table.note_sent(self._sequence, now_s)
+        for name in self._receivers():
+            echo, hold_s = self._table.echo(name, now_s)
+            self._link.send(
+                name, self._source.heartbeat(self._sequence, echo, hold_s)
+            )
+
+    def _receivers(self) -> set[str]:
+        members = self._table.members()
+        near = relay_tree.neighbours(list(members), self._me.vm_id)
+        others = sorted(set(members) - near)
+        picked = self._rng.sample(others, min(RANDOM_PEERS, len(others)))
+        receivers = set(near) | set(picked)
+        if not any(
+            self._clock() - known.heard_s <= member_table.LIVE_S
+            for known in members.values()
+        ):
+            receivers.update(self._connect_seeds())
+        return receivers
+
+    def _connect_seeds(self) -> list[str]:
+        names = []
+        for seed in self._seeds:
+            name = f"seed:{seed}"
+            self._link.connect(name, seed)
+            names.append(name)
+        return names
+
+    def _on_heartbeat(self, sender: str, beat: heartbeat.Heartbeat) -> None:
+        if beat.vm_id != sender or not self._table.hear(beat, self._clock()):
+            return
+        self._link.connect(beat.vm_id, beat.peer)
+        for listener in self._beat_listeners:
+            listener(beat)
+
+    async def _read_list(self) -> None:
+        failing = False
+        while True:
+            try:
+                listed = await self._listing.read()
+            except errors.PlatformError as exc:
+                if not failing:
+                    logging.warning("VM list not read: %s", exc)
+                failing = True
+            else:
+                failing = False
+                self._take_list(listed)
+            await asyncio.sleep(LIST_READ_S * self._rng.uniform(0.8, 1.2))
+
+    def _take_list(self, listed: tuple[vm_list.ListedVm, ...]) -> None:
+        self._listed = frozenset(item.id for item in listed)
+        self._leaving = frozenset(
+            item.id for item in listed if item.state == "leaving"
+        )
+        known = self._table.members()
+        for item in listed:
+            if item.id == self._me.vm_id or item.id in known:
+                continue
+            # A listed VM that was never heard of is invited by a heartbeat.
+            self._link.connect(item.id, item.peer)
+            self._link.send(
+                item.id, self._source.heartbeat(self._sequence, 0, 0.0)
+            )
+
+    def _forget_gone(self) -> None:
+        if self._listed is None:
+            return
+        now_s = self._clock()
+        for name, known in self._table.members().items():
+            if name not in self._listed and now_s - known.heard_s > FORGET_S:
+                self._table.forget(name)
+                self._link.disconnect(name)
--- a/src/bramleyworks/daemon/peer_link.py
+++ b/src/bramleyworks/daemon/peer_link.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import itertools
 import time
 from collections.abc import Callable
 
@@ -38,6 +39,7 @@
         self._dealers: dict[str, tuple[str, zmq.Socket]] = {}
         self._router: zmq.asyncio.Socket | None = None
         self._stack = contextlib.ExitStack()
+        self._socket_numbers = itertools.count()
         self.counts: collections.Counter[str] = collections.Counter()
 
     def register(self, kind: type, handler: Handler) -> None:
@@ -68,12 +70,18 @@
         # Sends never wait, so the plain socket spares the asyncio wrapper's
         # bookkeeping for each message.
         sock = zmq.Socket(self._context, zmq.DEALER)
-        sock.setsockopt(
-            zmq.IDENTITY,
-            IDENTITY_SEPARATOR.join(
-                (self._me.vm_id, self._me.incarnation)
-            ).encode(),
+        # Each socket has its own identity: two with the same one, for example
+        # to a seed address and to the VM behind it, would take each other's
+        # place at the receiver again and again.
+        parts = (
+            self._me.vm_id,
+            self._me.incarnation,
+            str(next(self._socket_numbers)),
         )
+        sock.setsockopt(zmq.IDENTITY, IDENTITY_SEPARATOR.join(parts).encode())
+        # Without a connection a send fails at once. Messages queued for a
+        # process that is gone would reach its successor.
+        sock.setsockopt(zmq.IMMEDIATE, 1)
         sock.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         sock.setsockopt(zmq.LINGER, 0)
         sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
--- /dev/null
+++ b/src/bramleyworks/daemon/settings.py
@@ -0,0 +1,187 @@
+"""Settings of the daemon, read from an INI file."""
+
+import configparser
+import dataclasses
+import ipaddress
+import urllib.parse
+from collections.abc import Callable
+
+import result
+
+from bramleyworks import errors
+
+DEFAULT_DRAIN_S = 40.0
+DEFAULT_HEADER_BYTES = 16 * 1024
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Checked settings of one daemon.
+
+    Attributes:
+        vm_id: Name of the VM.
+        region: Region of the VM.
+        failure_domain: Failure domain of the VM.
+        http: Address to listen on for callers, ``IP:PORT``.
+        peer: Address to listen on for other daemons, ``IP:PORT``.
+        store_url: Base URL of the store.
+        vm_list_url: Base URL of the platform's VM list.
+        seeds: Peer addresses to join through.
+        drain_s: Longest time that a stop waits for running requests.
+        max_header_bytes: Longest request header section accepted.
+        log_level: One of ``LOG_LEVELS``.
+    """
+
+    vm_id: str
+    region: str
+    failure_domain: str
+    http: str
+    peer: str
+    store_url: str
+    vm_list_url: str
+    seeds: tuple[str, ...]
+    drain_s: float
+    max_header_bytes: int
+    log_level: str
+
+
+def _name(text: str) -> str:
+    if not text or not text.isascii() or "/" in text or " " in text:
+        raise ValueError("must be a name without blanks and slashes")
+    return text
+
+
+def _vm_id(text: str) -> str:
+    if "." in text:
+        raise ValueError("must not contain a dot")
+    return _name(text)
+
+
+def _address(text: str) -> str:
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("must be IP:PORT")
+    ipaddress.ip_address(host.strip("[]"))
+    return text
+
+
+def _addresses(text: str) -> tuple[str, ...]:
+    return tuple(_address(part.strip()) for part in text.split(",") if part)
+
+
+def _url(text: str) -> str:
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ("http", "https") or not parts.netloc:
+        raise ValueError("must be an http or https URL")
+    return text.rstrip("/")
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value <= 3600:
+        raise ValueError("must be 0 to 3600 seconds")
+    return value
+
+
+def _header_bytes(text: str) -> int:
+    value = int(text)
+    if not 1024 <= value <= 1024 * 1024:
+        raise ValueError("must be 1024 to 1048576 bytes")
+    return value
+
+
+def _level(text: str) -> str:
+    if text not in LOG_LEVELS:
+        raise ValueError("must be one of " + ", ".join(LOG_LEVELS))
+    return text
+
+
+_REQUIRED = object()
+
+# Section, key, field of Settings, parser and default.
+_FIELDS: tuple[tuple[str, str, str, Callable, object], ...] = (
+    ("vm", "id", "vm_id", _vm_id, _REQUIRED),
+    ("vm", "region", "region", _name, _REQUIRED),
+    ("vm", "failure_domain", "failure_domain", _name, _REQUIRED),
+    ("listen", "http", "http", _address, _REQUIRED),
+    ("listen", "peer", "peer", _address, _REQUIRED),
+    ("store", "url", "store_url", _url, _REQUIRED),
+    ("vm_list", "url", "vm_list_url", _url, _REQUIRED),
+    ("seeds", "peers", "seeds", _addresses, ()),
+    ("limits", "drain_s", "drain_s", _seconds, DEFAULT_DRAIN_S),
+    (
+        "limits",
+        "max_header_bytes",
+        "max_header_bytes",
+        _header_bytes,
+        DEFAULT_HEADER_BYTES,
+    ),
+    ("log", "level", "log_level", _level, "info"),
+)
+
+
+def parse(
+    text: str, source: str
+) -> result.Result[Settings, tuple[errors.SettingsError, ...]]:
+    """Parses and checks settings.
+
+    Args:
+        text: Content of the INI file.
+        source: Name of the file, for errors.
+
+    Returns:
+        The settings, or every error found, each with section and key.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as exc:
+        reason = " ".join(str(exc).split())
+        return result.Err(
+            (errors.SettingsError("settings.parse", source, reason),)
+        )
+    problems = _unknown(parser, source)
+    values = {}
+    for section, key, field, parse_value, default in _FIELDS:
+        raw = parser.get(section, key, fallback=None)
+        if raw is None and default is not _REQUIRED:
+            values[field] = default
+            continue
+        try:
+            if raw is None:
+                raise ValueError("is required")
+            values[field] = parse_value(raw.strip())
+        except ValueError as exc:
+            problems.append(_error(source, section, key, str(exc)))
+    if problems:
+        return result.Err(tuple(problems))
+    return result.Ok(Settings(**values))
+
+
+def _unknown(
+    parser: configparser.ConfigParser, source: str
+) -> list[errors.SettingsError]:
+    known = {(section, key) for section, key, *_ in _FIELDS}
+    sections = {section for section, _ in known}
+    problems = []
+    for key in parser.defaults():
+        problems.append(_error(source, "DEFAULT", key, "is not a setting"))
+    for section in parser.sections():
+        if section not in sections:
+            problems.append(_error(source, section, "*", "unknown section"))
+            continue
+        for key in parser.options(section):
+            if (section, key) not in known and key not in parser.defaults():
+                problems.append(
+                    _error(source, section, key, "is not a setting")
+                )
+    return problems
+
+
+def _error(
+    source: str, section: str, key: str, reason: str
+) -> errors.SettingsError:
+    return errors.SettingsError(
+        "settings.check", source, f"[{section}] {key}: {reason}"
+    )
--- a/src/bramleyworks/messages/heartbeat.py
+++ b/src/bramleyworks/messages/heartbeat.py
@@ -21,6 +21,12 @@
         free_slots: Free slots by service that it could lend.
         counts: Requests and failures by ``MOVE/ROUTE/VERSION``.
         cuts: Ids of version moves it has cut.
+        echo: Sequence of the newest heartbeat received from the receiver, 0
+            for none.
+        echo_hold_s: Seconds between receiving that heartbeat and sending
+            this one.
+        joined: Whether it has had fresh evidence for its configuration since
+            it started; before that it may hold an old one.
     """
 
     vm_id: str
@@ -37,3 +43,6 @@
     free_slots: dict[str, int]
     counts: dict[str, list[int]] = {}
     cuts: tuple[str, ...] = ()
+    echo: int = 0
+    echo_hold_s: float = 0.0
+    joined: bool = False
--- a/src/bramleyworks/policy/member.py
+++ b/src/bramleyworks/policy/member.py
@@ -12,10 +12,12 @@
     Attributes:
         beat: The newest heartbeat of its newest incarnation.
         heard_s: Monotonic time of this process at which it arrived.
-        fresh_s: Monotonic time of this process up to which the member's
-            configuration is confirmed by the store; ``-inf`` if never.
+        state_s: Monotonic time of this process at which the member's state
+            was surely as in the heartbeat; earlier than ``heard_s``, because
+            it counts from the sending of our heartbeat that it echoes.
+            ``-inf`` without an echo.
     """
 
     beat: heartbeat.Heartbeat
     heard_s: float
-    fresh_s: float = float("-inf")
+    state_s: float = float("-inf")
