Add the front, the proxy and tests of membership, freshness and routing

Cause: the request path had no code; the freshness rule had no proof. Change: front, admission, proxy, API, metrics; hypothesis tests of block table and freshness against naive versions. Conclusion: the daemon is not wired yet.

--- a/src/bramleyworks/daemon/answer.py
+++ b/src/bramleyworks/daemon/answer.py
@@ -54,6 +54,7 @@
 
     def _head(self, item: call.Call, draining: bool) -> dict:
         raw = [*self.headers, *item.extra_headers]
+        raw.append((b"x-request-id", item.request_id.encode()))
         if draining:
             raw.append((b"connection", b"close"))
         return {
--- /dev/null
+++ b/src/bramleyworks/daemon/api.py
@@ -0,0 +1,133 @@
+"""The system's own HTTP interface."""
+
+from collections.abc import Callable
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from bramleyworks.daemon import headers
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import metrics
+from bramleyworks.daemon import refusal
+from bramleyworks.policy import block_table
+from bramleyworks.policy import entry
+from bramleyworks.policy import entry_vm
+
+
+class Api:
+    """Answers look-ups, ticket requests, status and metrics.
+
+    Attributes:
+        blocks: The table of client blocks in force.
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        candidates: Callable[[], list[entry_vm.EntryVm]],
+        status: Callable[[], dict],
+        issue: Callable[[bytes], str | refusal.Refusal],
+        measured: metrics.Metrics,
+    ):
+        """Takes the sources of its answers.
+
+        Args:
+            me: Who this daemon is.
+            candidates: Returns the VMs that a look-up may name.
+            status: Returns the state of this daemon for operators.
+            issue: Returns a ticket for the organisation of a key.
+            measured: The metrics.
+        """
+        self._me = me
+        self._candidates = candidates
+        self._status = status
+        self._issue = issue
+        self._metrics = measured
+        self.blocks = block_table.build(())
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route("/v1/entry", self._entry, methods=["GET"]),
+                routing.Route("/v1/tickets", self._tickets, methods=["POST"]),
+                routing.Route("/-/status", self._get_status, methods=["GET"]),
+                routing.Route("/-/metrics", self._get_metrics, methods=["GET"]),
+            ]
+        )
+
+    async def _entry(self, req: requests.Request) -> responses.Response:
+        client = req.query_params.get("client")
+        if client is None:
+            client = req.client.host if req.client else ""
+        try:
+            nearest = self.blocks.nearest(client)
+        except ValueError:
+            return _refuse(
+                refusal.Refusal(
+                    400,
+                    "not_run",
+                    "entry.client",
+                    "client must be an IPv4 address",
+                )
+            )
+        named = entry.choose(self._candidates(), client, nearest)
+        if not named:
+            return _refuse(
+                refusal.Refusal(
+                    503,
+                    "not_run",
+                    "entry.choose",
+                    "no entry VM is known to be live",
+                    retry_after_s=1,
+                )
+            )
+        return responses.JSONResponse(
+            {
+                "ttl_s": entry.TTL_S,
+                "vms": [
+                    {
+                        "id": vm.vm_id,
+                        "address": vm.address,
+                        "region": vm.site.region,
+                        "failure_domain": vm.site.failure_domain,
+                    }
+                    for vm in named
+                ],
+            },
+            headers={"Cache-Control": f"max-age={entry.TTL_S}"},
+        )
+
+    async def _tickets(self, req: requests.Request) -> responses.Response:
+        found = headers.keys(req.scope["headers"])
+        if len(found) != 1:
+            return _refuse(
+                refusal.Refusal(
+                    401 if not found else 400,
+                    "not_run",
+                    "tickets.key",
+                    "exactly one key is needed",
+                )
+            )
+        issued = self._issue(found[0])
+        if isinstance(issued, refusal.Refusal):
+            return _refuse(issued)
+        return responses.JSONResponse({"ticket": issued}, status_code=201)
+
+    async def _get_status(self, req: requests.Request) -> responses.Response:
+        return responses.JSONResponse(self._status())
+
+    async def _get_metrics(self, req: requests.Request) -> responses.Response:
+        return responses.Response(
+            self._metrics.text(), media_type="text/plain; version=0.0.4"
+        )
+
+
+def _refuse(refused: refusal.Refusal) -> responses.Response:
+    return responses.Response(
+        refused.body("-"),
+        status_code=refused.status,
+        headers={
+            name.decode(): value.decode()
+            for name, value in refused.headers("-")
+        },
+    )
--- /dev/null
+++ b/src/bramleyworks/daemon/front.py
@@ -0,0 +1,254 @@
+"""The ASGI application that callers talk to."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks.daemon import admission
+from bramleyworks.daemon import attempt
+from bramleyworks.daemon import call
+from bramleyworks.daemon import config_task
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import limit_task
+from bramleyworks.daemon import metrics
+from bramleyworks.daemon import proxy
+from bramleyworks.daemon import refusal
+from bramleyworks.daemon import request_body
+from bramleyworks.daemon import ticketed
+from bramleyworks.document import stored_config
+from bramleyworks.policy import routing
+
+# Paths that belong to this system; validation keeps routes away from them.
+OWN_PREFIXES = ("/v1/", "/-/")
+# Bodies up to this size are kept, so that a request can be tried again.
+REPLAY_BODY_BYTES = 64 * 1024
+# Most requests end sooner; only longer ones pay for a task that notices that
+# the caller has left.
+DISCONNECT_WATCH_S = 0.25
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+
+
+class Front:
+    """Admits requests and hands them to the proxy.
+
+    Attributes:
+        running: Number of requests running now.
+        draining: Whether callers are asked to close their connections.
+        table: Routes and keys in force.
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        config: config_task.ConfigTask,
+        limits: limit_task.LimitTask,
+        tickets: ticketed.Ticketed,
+        forward: proxy.Proxy,
+        measured: metrics.Metrics,
+        api: Callable[[dict, Receive, Send], Awaitable[None]],
+        max_header_bytes: int,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._config = config
+        self._limits = limits
+        self._tickets = tickets
+        self._proxy = forward
+        self._metrics = measured
+        self._api = api
+        self._max_header_bytes = max_header_bytes
+        self._clock = clock
+        self._prefix = f"{me.vm_id}-{me.incarnation[:8]}-"
+        self._numbers = itertools.count(1)
+        self.running = 0
+        self.draining = False
+        self.table: routing.RoutingTable | None = None
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Takes the routes and keys of a configuration into force."""
+        self.table = routing.RoutingTable(stored.doc)
+
+    def drain(self) -> None:
+        """Asks callers to close their connections after each answer."""
+        self.draining = True
+        self._proxy.draining = True
+
+    def is_valid(self, item: call.Call) -> bool:
+        """Returns whether a call's key is still good."""
+        key = item.admission.key
+        owner = item.admission.organisation
+        if owner is None:
+            return True
+        if not self._config.is_fresh(self._clock()):
+            return False
+        found = self.table.organisation(key)
+        return found is not None and found.name == owner.name
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            await self._api(scope, receive, send)
+            return
+        self.running += 1
+        try:
+            if scope["path"].startswith(OWN_PREFIXES):
+                await self._api(scope, receive, send)
+            else:
+                await self._serve(scope, receive, send)
+        finally:
+            self.running -= 1
+
+    async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
+        started_s = self._clock()
+        request_id = f"{self._prefix}{next(self._numbers)}"
+        admitted = admission.check(
+            self.table,
+            scope,
+            self._config.is_fresh(started_s),
+            self._max_header_bytes,
+        )
+        if isinstance(admitted, refusal.Refusal):
+            await self._refuse(send, request_id, "", admitted)
+            return
+        item = call.Call(
+            scope=scope,
+            receive=receive,
+            send=send,
+            admission=admitted,
+            body=request_body.RequestBody(scope, receive),
+            request_id=request_id,
+            started_s=started_s,
+            deadline_s=started_s + admitted.service.max_request_s,
+        )
+        refused = await self._within_rate(item)
+        if refused is None:
+            refused = await self._dispatch(item)
+        if refused is not None:
+            await self._refuse(
+                send, request_id, admitted.organisation_name, refused
+            )
+
+    async def _within_rate(self, item: call.Call) -> refusal.Refusal | None:
+        name = item.admission.organisation_name
+        if not name:
+            return None
+        limit = f"org:{name}"
+        if self._limits.try_take(limit, 1.0):
+            return None
+        if await self._limits.take(limit, 1.0, item.deadline_s):
+            return None
+        return refusal.Refusal(
+            429,
+            "not_run",
+            "front.rate",
+            "the organisation is over its rate",
+            retry_after_s=1,
+        )
+
+    async def _dispatch(self, item: call.Call) -> refusal.Refusal | None:
+        if not item.admission.idempotent:
+            return await self._tickets.run(item)
+        if not item.body.complete:
+            await item.body.read_ahead(REPLAY_BODY_BYTES)
+            if item.body.broken:
+                return None
+        async with _ends_with_caller(item):
+            return refusal_of(await self._proxy.run(item), item)
+        return None
+
+    async def _refuse(
+        self,
+        send: Send,
+        request_id: str,
+        organisation: str,
+        refused: refusal.Refusal,
+    ) -> None:
+        self._metrics.refuse(refused.step, organisation)
+        if refused.status >= 500:
+            logging.warning(
+                "request refused: %s",
+                refused.reason,
+                extra={
+                    "step": refused.step,
+                    "peer": refused.peer,
+                    "request_id": request_id,
+                    "organisation": organisation,
+                },
+            )
+        head = refused.headers(request_id)
+        body = refused.body(request_id)
+        head.append((b"content-length", str(len(body)).encode()))
+        if self.draining:
+            head.append((b"connection", b"close"))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": refused.status,
+                "headers": head,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+def refusal_of(
+    ended: attempt.Attempt, item: call.Call
+) -> refusal.Refusal | None:
+    """Returns what is left to tell the caller, None for nothing.
+
+    After the head of an answer nothing can be said any more; the server
+    closes the connection of an answer that was not completed.
+    """
+    if ended.refusal is not None:
+        return ended.refusal
+    if ended.failure is None:
+        return None
+    if ended.started:
+        logging.warning(
+            "answer broken off: %s",
+            ended.failure.reason,
+            extra={
+                "step": "proxy.stream",
+                "peer": ended.failure.peer,
+                "request_id": item.request_id,
+            },
+        )
+        return None
+    return proxy.failure_refusal(ended.failure)
+
+
+@contextlib.asynccontextmanager
+async def _ends_with_caller(item: call.Call):
+    """Cancels the block when the caller leaves."""
+    task = asyncio.current_task()
+    watchers: list[asyncio.Task] = []
+    left = False
+
+    async def watch() -> None:
+        nonlocal left
+        if not item.body.complete:
+            return
+        message = await item.receive()
+        if message["type"] == "http.disconnect":
+            left = True
+            task.cancel()
+
+    handle = asyncio.get_running_loop().call_later(
+        DISCONNECT_WATCH_S,
+        lambda: watchers.append(asyncio.ensure_future(watch())),
+    )
+    try:
+        yield
+    except asyncio.CancelledError:
+        if not left:
+            raise
+        task.uncancel()
+    finally:
+        handle.cancel()
+        for watcher in watchers:
+            watcher.cancel()
--- a/src/bramleyworks/daemon/headers.py
+++ b/src/bramleyworks/daemon/headers.py
@@ -78,7 +78,7 @@
 def to_caller(raw: tuple[tuple[bytes, bytes], ...]) -> RawHeaders:
     """Returns the end-to-end headers of an upstream's answer."""
     lowered = [(name.lower(), value) for name, value in raw]
-    dropped = HOP_BY_HOP | _named_by_connection(lowered) | {b"x-outcome"}
+    dropped = HOP_BY_HOP | RESERVED | _named_by_connection(lowered)
     return [item for item in lowered if item[0] not in dropped]
 
 
--- /dev/null
+++ b/src/bramleyworks/daemon/proxy.py
@@ -0,0 +1,235 @@
+"""Brings admitted requests to upstreams."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from bramleyworks.daemon import answer
+from bramleyworks.daemon import attempt
+from bramleyworks.daemon import call
+from bramleyworks.daemon import forward_failure
+from bramleyworks.daemon import forwarder
+from bramleyworks.daemon import headers
+from bramleyworks.daemon import metrics
+from bramleyworks.daemon import move_task
+from bramleyworks.daemon import refusal
+from bramleyworks.daemon import slot
+from bramleyworks.daemon import slot_request
+from bramleyworks.daemon import slot_task
+from bramleyworks.policy import sample
+
+MAX_ATTEMPTS = 2
+FAILED_STATUS = 500
+
+
+class Proxy:
+    """Runs attempts: a slot, an upstream, the answer, and what it showed."""
+
+    def __init__(
+        self,
+        forward: forwarder.Forwarder,
+        slots: slot_task.SlotTask,
+        moves: move_task.MoveTask,
+        measured: metrics.Metrics,
+        is_valid: Callable[[call.Call], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Takes the collaborators.
+
+        Args:
+            forward: Sends requests to upstreams.
+            slots: Owns the slots.
+            moves: Chooses versions.
+            measured: Counts answers.
+            is_valid: Whether the key of a call is still good; asked right
+                before the request is sent, because it may have queued.
+            clock: Monotonic time in seconds.
+        """
+        self._forward = forward
+        self._slots = slots
+        self._moves = moves
+        self._metrics = measured
+        self._is_valid = is_valid
+        self._clock = clock
+        self.draining = False
+
+    async def run(self, item: call.Call) -> attempt.Attempt:
+        """Runs a request, with a second try where that is safe.
+
+        A second try needs a request that is idempotent or surely not run, a
+        body that is still at hand, and room in the retry budget.
+        """
+        exclude: tuple[str, ...] = ()
+        for number in range(1, MAX_ATTEMPTS + 1):
+            ended = await self._attempt(item, exclude)
+            failure = ended.failure
+            if (
+                failure is None
+                or ended.started
+                or number == MAX_ATTEMPTS
+                or not (failure.not_run or item.admission.idempotent)
+                or not item.body.complete
+                or not self._slots.may_retry(item.admission.service.name)
+            ):
+                return ended
+            exclude = (*exclude, failure.peer)
+        return ended
+
+    async def _attempt(
+        self, item: call.Call, exclude: tuple[str, ...]
+    ) -> attempt.Attempt:
+        admitted = item.admission
+        version = self._moves.choose(
+            admitted.service.name, admitted.route.prefix
+        )
+        ask = slot_request.SlotRequest(
+            service=admitted.service.name,
+            version=version,
+            organisation=admitted.organisation_name,
+            deadline_s=item.deadline_s,
+            body_bytes=len(item.body.head),
+            exclude=exclude,
+        )
+        taken = self._slots.try_acquire(ask)
+        if taken is None:
+            acquired = await self._slots.acquire(ask)
+            if acquired.is_err():
+                return attempt.Attempt(
+                    refusal=_slot_refusal(acquired.unwrap_err())
+                )
+            taken = acquired.unwrap()
+        if not self._is_valid(item):
+            self._slots.release(taken, slot_request.Outcome.NOT_SENT)
+            return attempt.Attempt(
+                refusal=refusal.Refusal(
+                    401,
+                    "not_run",
+                    "proxy.key",
+                    "the key was withdrawn while the request was queued",
+                )
+            )
+        return await self._with_slot(item, taken, version)
+
+    async def _with_slot(
+        self, item: call.Call, taken: slot.Slot, version: str
+    ) -> attempt.Attempt:
+        started_s = self._clock()
+        ended = attempt.Attempt(
+            failure=forward_failure.ForwardFailure(
+                False, taken.upstream, "the request was cancelled"
+            )
+        )
+        try:
+            ended = await self._exchange(item, taken)
+        finally:
+            self._finish(item, taken, version, started_s, ended)
+        return ended
+
+    async def _exchange(
+        self, item: call.Call, taken: slot.Slot
+    ) -> attempt.Attempt:
+        """Sends the request and streams the answer before the deadline."""
+        outgoing = headers.to_upstream(
+            item.scope["headers"], item.admission.key
+        )
+        outgoing[forwarder.REQUEST_ID_HEADER] = item.request_id
+        if item.admission.organisation_name:
+            outgoing["X-Organisation"] = item.admission.organisation_name
+        remaining_s = min(item.deadline_s, taken.expires_s) - self._clock()
+        outgoing["X-Deadline-Ms"] = str(max(0, int(remaining_s * 1000)))
+        streamed: answer.Answer | None = None
+        response: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(remaining_s):
+                got = await self._forward.send(
+                    taken.upstream,
+                    taken.url,
+                    item.scope["method"],
+                    item.target,
+                    outgoing,
+                    item.body.content(),
+                    item.admission.idempotent,
+                )
+                if got.is_err():
+                    return attempt.Attempt(failure=got.unwrap_err())
+                response = got.unwrap()
+                streamed = answer.Answer(response)
+                await streamed.stream(item, self.draining)
+                return attempt.Attempt(answer=streamed, started=True)
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            return attempt.Attempt(
+                failure=forward_failure.ForwardFailure(
+                    False,
+                    taken.upstream,
+                    str(exc) or type(exc).__name__,
+                    timed_out=isinstance(exc, TimeoutError),
+                ),
+                started=streamed is not None and streamed.started,
+            )
+        finally:
+            # Closes the connection unless the answer was read to its end.
+            if response is not None:
+                response.close()
+
+    def _finish(
+        self,
+        item: call.Call,
+        taken: slot.Slot,
+        version: str,
+        started_s: float,
+        ended: attempt.Attempt,
+    ) -> None:
+        now_s = self._clock()
+        failure = ended.failure
+        status = ended.answer.status if ended.answer else 0
+        failed = status >= FAILED_STATUS or (
+            failure is not None and not failure.shed
+        )
+        if failure is not None and failure.shed:
+            outcome = slot_request.Outcome.SHED
+        elif failed:
+            outcome = slot_request.Outcome.FAILED
+        else:
+            outcome = slot_request.Outcome.DONE
+        self._slots.release(taken, outcome)
+        name = item.admission.service.name
+        self._moves.observe(
+            sample.Sample(
+                service=name,
+                route=item.admission.route.prefix,
+                version=version,
+                failed=failed,
+                latency_s=now_s - started_s,
+                busy=taken.busy,
+            )
+        )
+        if ended.answer is not None:
+            self._metrics.observe(name, status, now_s - item.started_s)
+
+
+def failure_refusal(failure: forward_failure.ForwardFailure) -> refusal.Refusal:
+    """Returns what a caller is told about a failed attempt."""
+    if failure.not_run:
+        return refusal.Refusal(
+            503,
+            "not_run",
+            "proxy.send",
+            failure.reason,
+            peer=failure.peer,
+            retry_after_s=1,
+        )
+    return refusal.Refusal(
+        504 if failure.timed_out else 502,
+        "unknown",
+        "proxy.send",
+        failure.reason,
+        peer=failure.peer,
+    )
+
+
+def _slot_refusal(refused: slot_task.SlotRefusal) -> refusal.Refusal:
+    return refusal.Refusal(
+        503, "not_run", "proxy.slot", refused.reason, retry_after_s=1
+    )
--- /dev/null
+++ b/tests/policy/test_entry.py
@@ -0,0 +1,37 @@
+"""Guards against look-ups that spread clients badly or name wrong VMs."""
+
+import collections
+
+from bramleyworks.policy import entry
+from bramleyworks.policy import entry_vm
+from bramleyworks.policy import site
+
+SUDO = site.Site("sudo", "d1")
+VMS = [
+    entry_vm.EntryVm(f"vm{i}", f"127.0.0.1:{i}", where)
+    for i, where in enumerate(
+        [SUDO, SUDO, SUDO, site.Site("sudo", "d2"), site.Site("honam", "d1")]
+    )
+]
+
+
+def test_nearest_site_comes_first():
+    named = entry.choose(VMS[2:], "10.0.0.1", SUDO)
+    assert [vm.vm_id for vm in named] == ["vm2", "vm3", "vm4"]
+
+
+def test_a_leaving_vm_moves_only_its_own_clients():
+    clients = [f"10.0.{i}.1" for i in range(200)]
+    before = {c: entry.choose(VMS, c, SUDO)[0].vm_id for c in clients}
+    after = {c: entry.choose(VMS[1:], c, SUDO)[0].vm_id for c in clients}
+    moved = [c for c in clients if before[c] != after[c]]
+    assert all(before[c] == "vm0" for c in moved)
+
+
+def test_client_blocks_spread_over_the_vms_of_a_site():
+    counts = collections.Counter(
+        entry.choose(VMS, f"10.{i // 250}.{i % 250}.1", SUDO)[0].vm_id
+        for i in range(3000)
+    )
+    assert set(counts) == {"vm0", "vm1", "vm2"}
+    assert min(counts.values()) > 800
--- /dev/null
+++ b/tests/policy/test_relay_tree.py
@@ -0,0 +1,53 @@
+"""Guards against members that no announcement reaches."""
+
+import pytest
+
+from bramleyworks.policy import relay_tree
+
+
+@pytest.mark.parametrize("count", [1, 2, 16, 17, 40, 300, 7500])
+def test_links_agree_on_both_sides_and_reach_everyone(count):
+    names = [f"vm{i:05d}" for i in range(count)]
+    sample = names if count <= 300 else names[::97]
+    near = {name: relay_tree.neighbours(names, name) for name in sample}
+    if count <= 300:
+        for name, others in near.items():
+            for other in others:
+                assert name in near[other]
+        reached = {names[0]}
+        frontier = [names[0]]
+        hops = 0
+        while frontier:
+            hops += 1
+            frontier = {
+                other for name in frontier for other in near[name]
+            } - reached
+            reached |= frontier
+        assert reached == set(names)
+        assert hops <= 5
+    # Two parents and the children of two positions bound a member's messages.
+    assert max(len(others) for others in near.values()) <= 50
+
+
+@pytest.mark.parametrize("count", [17, 60, 300])
+def test_any_one_dead_member_cuts_nobody_off(count):
+    names = [f"vm{i:05d}" for i in range(count)]
+    near = {name: relay_tree.neighbours(names, name) for name in names}
+    for dead in names[:20]:
+        start = next(name for name in names if name != dead)
+        reached = {start}
+        frontier = {start}
+        while frontier:
+            frontier = (
+                {other for name in frontier for other in near[name]}
+                - reached
+                - {dead}
+            )
+            reached |= frontier
+        assert len(reached) == count - 1
+
+
+def test_each_region_has_two_watchers():
+    names = [f"vm{i}" for i in range(5)]
+    assert len(relay_tree.watchers(names, "sudo")) == 2
+    assert relay_tree.watchers(names[:1], "sudo") == {"vm0"}
