--- /dev/null
+++ b/src/bramleyworks/daemon/audit_task.py
@@ -0,0 +1,204 @@
+"""The task that writes this daemon's entries to the audit trail."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.document import stored_config
+from bramleyworks.platform import store as store_module
+from bramleyworks.policy import audit_entry
+from bramleyworks.policy import audit_ring
+from bramleyworks.policy import fleet_view
+
+FLUSH_EVERY_S = 5.0
+# Spreads the writes of daemons that started together.
+FLUSH_JITTER = 0.2
+# Writers that conflict more often than this in one flush try again in the
+# next one.
+MAX_TRIES = 20
+
+
+@dataclasses.dataclass(frozen=True)
+class _Write:
+    """A write of which the effect is not confirmed.
+
+    Attributes:
+        segment: The segment with the new entries.
+        expected_revision: Revision that the write expects.
+        entries: The new entries, without the report of lost ones.
+        lost: Number of lost entries that the write reports.
+    """
+
+    segment: audit_ring.Segment
+    expected_revision: int
+    entries: tuple[audit_entry.AuditEntry, ...]
+    lost: int
+
+
+class AuditTask:
+    """Collects audit entries and appends them to the ring in the store.
+
+    A write whose reply was lost is resolved before any other write: its
+    entries are either found in the segment, or the same write is repeated
+    with the same expected revision, of which the store accepts one at most.
+
+    Attributes:
+        written: Entries confirmed to be in the store.
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        store: store_module.Store,
+        wall: Callable[[], float] = time.time,
+        rng: random.Random | None = None,
+    ):
+        self._me = me
+        self._store = store
+        self._wall = wall
+        self._rng = rng or random.Random()
+        self._pending = audit_ring.Pending()
+        self._write: _Write | None = None
+        self._sequence = 0
+        self._flushing = asyncio.Lock()
+        self.written = 0
+
+    def note(self, kind: str, subject: str, cause: str) -> None:
+        """Records an event; it is written within about 5 s.
+
+        Args:
+            kind: Kind of the event, for example ``"move.cut"``.
+            subject: What it is about; must not contain a caller's key.
+            cause: Why it happened; must not contain a caller's key.
+        """
+        held = len(self._write.entries) if self._write else 0
+        self._pending.add(self._entry(kind, subject, cause), held)
+
+    async def flush(self) -> bool:
+        """Writes all entries now; returns whether all were confirmed."""
+        async with self._flushing:
+            try:
+                for _ in range(MAX_TRIES):
+                    if not await self._step():
+                        return True
+            except errors.StoreError as exc:
+                logging.warning("audit entries wait: %s", exc)
+            return False
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Does nothing; the configuration keeps its own history."""
+
+    def on_fleet(self, view: fleet_view.FleetView) -> None:
+        """Does nothing; the audit trail does not depend on the fleet."""
+
+    async def run(self) -> None:
+        """Writes the entries every 5 s until cancelled."""
+        while True:
+            jitter = self._rng.uniform(1 - FLUSH_JITTER, 1 + FLUSH_JITTER)
+            await asyncio.sleep(FLUSH_EVERY_S * jitter)
+            await self.flush()
+
+    def _entry(
+        self, kind: str, subject: str, cause: str
+    ) -> audit_entry.AuditEntry:
+        self._sequence += 1
+        limit = audit_ring.MAX_TEXT_CHARS
+        return audit_entry.AuditEntry(
+            id=f"{self._me.vm_id}.{self._me.incarnation}.{self._sequence}",
+            time_s=self._wall(),
+            vm=self._me.vm_id,
+            kind=kind[:limit],
+            subject=subject[:limit],
+            cause=cause[:limit],
+        )
+
+    async def _step(self) -> bool:
+        """Makes one attempt; returns whether anything is left to do."""
+        if self._write is not None:
+            await self._resolve(self._write)
+            return True
+        if not self._pending and not self._pending.lost:
+            return False
+        head = await self._store.get(audit_ring.HEAD_KEY)
+        number = audit_ring.decode_head(head.value) if head else 0
+        key = audit_ring.key_of(number)
+        stored = await self._store.get(key)
+        segment = audit_ring.decode(stored.value) if stored else None
+        if segment is None or segment.number < number:
+            segment = audit_ring.Segment(number)
+        if segment.number > number:
+            # The ring went round since the head was read.
+            return True
+        entries = self._pending.entries()
+        lost = self._pending.lost
+        if lost:
+            report = self._entry("audit.lost", self._me.vm_id, f"{lost}")
+            entries = (report, *entries)
+        grown, taken = audit_ring.append(segment, entries)
+        if not taken:
+            await self._advance(number, head.revision if head else 0)
+            return True
+        entries = entries[1:taken] if lost else entries[:taken]
+        self._pending.remove(entries)
+        self._pending.lost -= lost
+        revision = stored.revision if stored else 0
+        self._write = _Write(grown, revision, entries, lost)
+        await self._put(self._write)
+        return True
+
+    async def _advance(self, number: int, revision: int) -> None:
+        try:
+            await self._store.put(
+                audit_ring.HEAD_KEY,
+                audit_ring.encode_head(number + 1),
+                revision,
+            )
+        except errors.StoreConflictError:
+            # Another writer advanced the head.
+            return
+
+    async def _put(self, write: _Write) -> None:
+        try:
+            await self._store.put(
+                audit_ring.key_of(write.segment.number),
+                audit_ring.encode(write.segment),
+                write.expected_revision,
+            )
+        except errors.StoreConflictError:
+            # An earlier try of the same write may be what it conflicts with.
+            await self._resolve(write)
+            return
+        self._confirm(write)
+
+    async def _resolve(self, write: _Write) -> None:
+        key = audit_ring.key_of(write.segment.number)
+        stored = await self._store.get(key)
+        revision = stored.revision if stored else 0
+        if revision == write.expected_revision:
+            await self._put(write)
+            return
+        segment = audit_ring.decode(stored.value) if stored else None
+        if segment is None or segment.number > write.segment.number:
+            # The ring went round: the entries would be gone in either case.
+            self._confirm(write)
+            return
+        if write.segment.entries[-1] in segment.entries:
+            self._confirm(write)
+            return
+        # The revision has changed, so the write can not take effect any more.
+        self._write = None
+        self._pending.lost += write.lost
+        waiting = self._pending.entries()
+        self._pending.remove(waiting)
+        for entry in (*write.entries, *waiting):
+            self._pending.add(entry)
+
+    def _confirm(self, write: _Write) -> None:
+        self.written += len(write.entries)
+        self._write = None
--- /dev/null
+++ b/src/bramleyworks/daemon/move_task.py
@@ -0,0 +1,523 @@
+"""The task that moves services to new versions."""
+
+import asyncio
+import math
+import random
+import time
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import audit_sink
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import move_status
+from bramleyworks.daemon import peer_link
+from bramleyworks.document import move as move_module
+from bramleyworks.document import stored_config
+from bramleyworks.messages import version_cut
+from bramleyworks.platform import store as store_module
+from bramleyworks.platform import store_entry
+from bramleyworks.platform import store_lease
+from bramleyworks.policy import canary_stats
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import move
+from bramleyworks.policy import move_record
+from bramleyworks.policy import sample as sample_module
+from bramleyworks.policy import tickets
+
+MOVES_KEY = "moves"
+LEASE_NAME = "move-driver"
+LEASE_S = 6.0
+# A write that starts this long before the lease ends is abandoned.
+LEASE_MARGIN_S = 1.0
+DRIVE_EVERY_S = 2.0
+DRIVE_JITTER = 0.5
+TICK_S = 0.25
+WATCH_S = 2.0
+RETRY_S = 2.0
+# A daemon that was paused this long may have missed a cut.
+PAUSE_S = 2.0
+# After a pause or a start, time to hear heartbeats of all neighbours (1 Hz).
+CATCH_UP_S = 1.5
+DRIVERS_PER_REGION = 2
+FOREIGN_CUTS = 100
+# Records of ended moves are removed after a day, when the document has
+# forgotten the move.
+KEEP_RECORD_S = 86_400.0
+
+_VERDICTS = ("running", "done", "undone")
+
+
+class _Split:
+    """How one service's requests are divided between two versions."""
+
+    __slots__ = ("old", "new", "share_ppm", "until_s", "counters")
+
+    def __init__(self, old: str):
+        self.old = old
+        self.new = old
+        self.share_ppm = 0
+        self.until_s = math.inf
+        self.counters: dict[str, int] = {}
+
+
+class MoveTask:
+    """Applies, watches and, while it holds the lease, drives moves.
+
+    Two daemons of each region read the store value ``moves`` and try for the
+    lease; the others learn the records from heartbeats.
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        link: peer_link.PeerLink,
+        store: store_module.Store,
+        audit: audit_sink.AuditSink,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+        rng: random.Random | None = None,
+    ):
+        self._me = me
+        self._source = (me.vm_id, me.incarnation)
+        self._link = link
+        self._store = store
+        self._audit = audit
+        self._clock = clock
+        self._wall = wall
+        self._rng = rng or random.Random()
+        self._view = fleet_view.FleetView(me.vm_id, {})
+        self._services: dict[str, str] = {}
+        self._splits: dict[str, _Split] = {}
+        self._by_route: dict[str, list[canary_stats.MoveEvidence]] = {}
+        self._moves: dict[str, move_module.Move] = {}
+        self._evidence: dict[str, canary_stats.MoveEvidence] = {}
+        self._records: dict[str, tuple[int, move_record.MoveRecord]] = {}
+        self._revision = 0
+        self._cuts: dict[str, str] = {}
+        self._rolled_back: set[str] = set()
+        self._unnoted: dict[str, move_record.MoveRecord] = {}
+        self._ticked_s = clock()
+        self._hold_until_s = self._ticked_s + CATCH_UP_S
+        link.register(version_cut.VersionCut, self._on_cut)
+
+    def choose(self, service: str, route: str) -> str:
+        """Returns the version that serves the next request.
+
+        Error diffusion keeps the new version's part of each route's requests
+        at or below the share at any time.
+
+        Args:
+            service: Name of a service of the document.
+            route: Prefix of the route.
+
+        Raises:
+            KeyError: The document has no such service.
+        """
+        split = self._splits[service]
+        if (
+            not split.share_ppm
+            or self._wall() >= split.until_s
+            or self._clock() - self._ticked_s >= PAUSE_S
+        ):
+            return split.old
+        count = split.counters.get(route, 0) + split.share_ppm
+        if count >= move.ALL_PPM:
+            split.counters[route] = count - move.ALL_PPM
+            return split.new
+        split.counters[route] = count
+        return split.old
+
+    def observe(self, sample: sample_module.Sample) -> None:
+        """Takes the result of one request."""
+        for evidence in self._by_route.get(sample.route, ()):
+            evidence.observe(sample)
+
+    def status(self) -> tuple[move_status.MoveStatus, ...]:
+        """Returns the state of all moves of the document."""
+        return tuple(self._status_of(plan) for plan in self._moves.values())
+
+    def heartbeat_counts(self) -> dict[str, list[int]]:
+        """Returns the counts for the next heartbeat.
+
+        The key ``MOVE/ROUTE/VERSION`` has the counts of that version. The key
+        ``MOVE`` has revision, token, step, share and verdict of the newest
+        record, so that daemons that do not read the store learn it.
+        """
+        counts = {}
+        for evidence in self._evidence.values():
+            counts.update(evidence.totals())
+        for move_id in self._moves:
+            known = self._records.get(move_id)
+            if known:
+                revision, record = known
+                counts[move_id] = [
+                    revision,
+                    record.token,
+                    record.step,
+                    record.share_ppm,
+                    _VERDICTS.index(record.verdict),
+                ]
+        return counts
+
+    def cuts(self) -> tuple[str, ...]:
+        """Returns the ids of the moves known to be cut."""
+        return tuple(self._cuts)
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Takes the moves, services and routes of a newer document."""
+        doc = stored.doc
+        self._services = {item.name: item.version for item in doc.services}
+        known = self._moves
+        self._moves = {
+            item.id: item
+            for item in sorted(doc.moves, key=lambda item: item.start_s)
+        }
+        routes: dict[str, list[str]] = {}
+        for item in doc.routes:
+            routes.setdefault(item.service, []).append(item.prefix)
+        evidence = {}
+        by_route: dict[str, list[canary_stats.MoveEvidence]] = {}
+        for plan in self._moves.values():
+            names = tuple(routes.get(plan.service, ()))
+            kept = self._evidence.get(plan.id)
+            if kept is None or known.get(plan.id) != plan:
+                kept = canary_stats.MoveEvidence(plan, names)
+            kept.watch(names)
+            evidence[plan.id] = kept
+            for name in names:
+                by_route.setdefault(name, []).append(kept)
+        self._evidence = evidence
+        self._by_route = by_route
+        self._forget()
+        self._apply()
+
+    def on_fleet(self, view: fleet_view.FleetView) -> None:
+        """Takes cuts, records and counts from the members' heartbeats."""
+        self._view = view
+        beats = [item.beat for item in view.live.values()]
+        for beat in beats:
+            for move_id in beat.cuts:
+                self._cut(move_id, f"cut by {beat.vm_id}")
+        for beat in beats:
+            for move_id in self._moves:
+                self._adopt_gossip(move_id, beat.counts.get(move_id))
+            for move_id, evidence in self._evidence.items():
+                if self._is_open(move_id):
+                    evidence.merge(
+                        (beat.vm_id, beat.incarnation),
+                        beat.counts,
+                        self._wall(),
+                    )
+        self.tick()
+
+    def tick(self) -> None:
+        """Looks for evidence, pauses and passed deadlines."""
+        now_s = self._clock()
+        if now_s - self._ticked_s >= PAUSE_S:
+            self._hold_until_s = now_s + CATCH_UP_S
+        self._ticked_s = now_s
+        wall_s = self._wall()
+        for move_id, evidence in self._evidence.items():
+            if not self._is_open(move_id):
+                continue
+            reason = evidence.check(self._source, wall_s)
+            if reason is not None:
+                self._cut(move_id, reason)
+        for plan in self._moves.values():
+            if (
+                wall_s >= plan.deadline_s
+                and self._is_open(plan.id)
+                and plan.id not in self._rolled_back
+            ):
+                self._rolled_back.add(plan.id)
+                self._audit.note(
+                    "move.rolled_back", plan.id, "no verdict at the deadline"
+                )
+        self._apply()
+
+    async def read(self, wait_s: float = 0.0) -> None:
+        """Reads the records from the store, waiting for newer ones.
+
+        Raises:
+            errors.StoreError: The store can not be reached.
+        """
+        entry = await self._store.watch(MOVES_KEY, self._revision, wait_s)
+        if entry is not None:
+            self._adopt(entry)
+
+    async def drive(self) -> None:
+        """Takes or renews the lease and makes the next change, if any.
+
+        Raises:
+            errors.StoreError: The store can not be reached.
+        """
+        if not self._is_driver() or not self._needs_driver():
+            return
+        lease = await self._store.acquire_lease(
+            LEASE_NAME, "/".join(self._source), LEASE_S
+        )
+        if lease is None:
+            return
+        entry = await self._store.get(MOVES_KEY)
+        records = move_record.decode_all(entry.value) if entry else {}
+        if records is None:
+            logging.error("move.drive: the store value is malformed")
+            return
+        if entry is not None:
+            self._adopt(entry)
+        if move.is_fenced(records, lease.token):
+            logging.warning("move.drive: a later driver has written")
+            return
+        changes = self._changes(records, lease)
+        if changes and self._clock() < lease.expires_s - LEASE_MARGIN_S:
+            await self._write(entry, records, changes)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._tick_forever())
+            group.create_task(self._read_forever())
+            group.create_task(self._drive_forever())
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    async def _read_forever(self) -> None:
+        while True:
+            if not self._moves or not self._is_driver():
+                await asyncio.sleep(WATCH_S)
+                continue
+            try:
+                await self.read(WATCH_S)
+            except errors.StoreError as exc:
+                logging.warning("moves can not be read: %s", exc)
+                await asyncio.sleep(self._rng.uniform(0.2, 1) * RETRY_S)
+
+    async def _drive_forever(self) -> None:
+        while True:
+            jitter = self._rng.uniform(1 - DRIVE_JITTER, 1 + DRIVE_JITTER)
+            await asyncio.sleep(DRIVE_EVERY_S * jitter)
+            try:
+                await self.drive()
+            except errors.StoreError as exc:
+                logging.warning("moves can not be driven: %s", exc)
+
+    def _is_driver(self) -> bool:
+        same = [
+            name
+            for name, item in self._view.live.items()
+            if item.beat.region == self._me.region
+        ]
+        ranked = tickets.rank(MOVES_KEY, [*same, self._me.vm_id])
+        return self._me.vm_id in ranked[:DRIVERS_PER_REGION]
+
+    def _needs_driver(self) -> bool:
+        now_s = self._wall()
+        return any(
+            plan.start_s <= now_s
+            and (
+                self._is_open(plan.id)
+                or (plan.id in self._cuts and not self._is_undone(plan.id))
+            )
+            for plan in self._moves.values()
+        )
+
+    def _is_open(self, move_id: str) -> bool:
+        known = self._records.get(move_id)
+        return (
+            known is None or known[1].verdict == "running"
+        ) and move_id not in self._cuts
+
+    def _is_undone(self, move_id: str) -> bool:
+        known = self._records.get(move_id)
+        return known is not None and known[1].verdict == "undone"
+
+    def _changes(
+        self,
+        records: dict[str, move_record.MoveRecord],
+        lease: store_lease.StoreLease,
+    ) -> dict[str, move_record.MoveRecord]:
+        now_s = self._wall()
+        changes = {}
+        for plan in self._moves.values():
+            changed = move.next_record(
+                plan,
+                records.get(plan.id),
+                self._cuts.get(plan.id),
+                lease.token,
+                now_s,
+            )
+            if changed is not None:
+                changes[plan.id] = changed
+        return changes
+
+    async def _write(
+        self,
+        entry: store_entry.StoreEntry | None,
+        records: dict[str, move_record.MoveRecord],
+        changes: dict[str, move_record.MoveRecord],
+    ) -> None:
+        now_s = self._wall()
+        kept = {
+            move_id: record
+            for move_id, record in records.items()
+            if move_id in self._moves
+            or record.verdict == "running"
+            or now_s - record.time_s < KEEP_RECORD_S
+        }
+        self._unnoted = {
+            move_id: record
+            for move_id, record in changes.items()
+            if move_id not in records
+            or (record.step, record.verdict)
+            != (records[move_id].step, records[move_id].verdict)
+        }
+        try:
+            written = await self._store.put(
+                MOVES_KEY,
+                move_record.encode_all(kept | changes),
+                entry.revision if entry else 0,
+            )
+        except errors.StoreConflictError:
+            self._unnoted = {}
+            return
+        self._adopt(written)
+
+    def _adopt(self, entry: store_entry.StoreEntry) -> None:
+        if entry.revision <= self._revision:
+            return
+        records = move_record.decode_all(entry.value)
+        if records is None:
+            logging.error("move.read: the store value is malformed")
+            return
+        self._revision = entry.revision
+        for move_id, record in records.items():
+            known = self._records.get(move_id)
+            if known is None or known[0] < entry.revision:
+                self._records[move_id] = (entry.revision, record)
+            mine = self._unnoted.get(move_id)
+            if mine and (mine.step, mine.verdict, mine.time_s) == (
+                record.step,
+                record.verdict,
+                record.time_s,
+            ):
+                self._audit.note(
+                    f"move.{record.verdict}",
+                    move_id,
+                    record.reason or f"share {record.share_ppm} ppm",
+                )
+        self._unnoted = {}
+        self._forget()
+        self._apply()
+
+    def _adopt_gossip(self, move_id: str, values: list[int] | None) -> None:
+        if values is None or len(values) != 5:
+            return
+        revision, token, step, share_ppm, verdict = values
+        known = self._records.get(move_id)
+        if known is not None and known[0] >= revision:
+            return
+        if not 0 <= verdict < len(_VERDICTS):
+            return
+        self._records[move_id] = (
+            revision,
+            move_record.MoveRecord(
+                token, step, share_ppm, _VERDICTS[verdict], "", 0.0
+            ),
+        )
+
+    def _on_cut(self, sender: str, msg: version_cut.VersionCut) -> None:
+        self._cut(msg.move_id, msg.reason)
+
+    def _cut(self, move_id: str, reason: str) -> None:
+        if move_id in self._cuts:
+            return
+        self._cuts[move_id] = reason
+        self._apply()
+        logging.warning("move %s is cut: %s", move_id, reason)
+        self._audit.note("move.cut", move_id, reason)
+        # Every daemon tells all once, so that a lost message does no harm.
+        for name in self._view.live:
+            self._link.send(name, version_cut.VersionCut(move_id, reason))
+
+    def _forget(self) -> None:
+        """Drops old state of moves that are not in the document.
+
+        Records and cuts may arrive before the document that has the move, so
+        the newest ones stay.
+        """
+        self._records = {
+            move_id: known
+            for move_id, known in self._records.items()
+            if move_id in self._moves or known[0] == self._revision
+        }
+        self._rolled_back &= self._moves.keys()
+        foreign = [item for item in self._cuts if item not in self._moves]
+        for move_id in foreign[:-FOREIGN_CUTS]:
+            del self._cuts[move_id]
+
+    def _share_of(self, plan: move_module.Move) -> int:
+        known = self._records.get(plan.id)
+        record = known[1] if known else None
+        share_ppm = move.share_ppm(
+            plan, record, plan.id in self._cuts, self._wall()
+        )
+        if share_ppm == move.ALL_PPM and record.verdict == "done":
+            return share_ppm
+        if plan.id in self._rolled_back:
+            return 0
+        return 0 if self._clock() < self._hold_until_s else share_ppm
+
+    def _apply(self) -> None:
+        """Computes the split of each service anew."""
+        now_s = self._wall()
+        splits = {
+            name: self._splits.get(name) or _Split(version)
+            for name, version in self._services.items()
+        }
+        for name, split in splits.items():
+            split.old = self._services[name]
+            split.share_ppm = 0
+            split.until_s = math.inf
+        for plan in self._moves.values():
+            split = splits.get(plan.service)
+            if split is None or plan.start_s > now_s:
+                continue
+            share_ppm = self._share_of(plan)
+            known = self._records.get(plan.id)
+            if share_ppm and known[1].verdict == "done":
+                split.old, split.share_ppm = plan.to_version, 0
+                continue
+            if split.new != plan.to_version:
+                split.counters = {}
+            split.old, split.new = plan.from_version, plan.to_version
+            split.share_ppm = share_ppm
+            split.until_s = plan.deadline_s
+        self._splits = splits
+
+    def _status_of(self, plan: move_module.Move) -> move_status.MoveStatus:
+        known = self._records.get(plan.id)
+        record = known[1] if known else None
+        verdict = record.verdict if record else "waiting"
+        reason = record.reason if record else ""
+        if plan.id in self._cuts:
+            verdict, reason = "undone", self._cuts[plan.id]
+        elif plan.id in self._rolled_back and verdict != "done":
+            verdict = "undone"
+            reason = reason or "no verdict at the deadline"
+        return move_status.MoveStatus(
+            id=plan.id,
+            service=plan.service,
+            from_version=plan.from_version,
+            to_version=plan.to_version,
+            deadline_s=plan.deadline_s,
+            step=record.step if record else -1,
+            share_ppm=self._share_of(plan),
+            verdict=verdict,
+            reason=reason,
+            is_cut=plan.id in self._cuts,
+        )
--- /dev/null
+++ b/src/bramleyworks/daemon/ticket_desk.py
@@ -0,0 +1,232 @@
+"""The task that owns the tickets of this daemon."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import peer_link
+from bramleyworks.document import stored_config
+from bramleyworks.messages import ticket_handover
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import ticket_outcome
+from bramleyworks.policy import ticket_step
+from bramleyworks.policy import tickets
+
+EXPIRE_EVERY_S = 5.0
+HANDOVER_PEERS = 2
+# One more than receive the handover, because a VM that joined since the
+# issuer stopped may rank before them.
+LOOKUP_PEERS = 3
+PART_ENTRIES = 256
+
+
+class TicketDesk:
+    """Issues tickets and decides about requests that carry one."""
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        link: peer_link.PeerLink,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._me = me
+        self._issuer = f"{me.vm_id}.{me.incarnation}"
+        self._link = link
+        self._clock = clock
+        self._book = tickets.TicketBook(self._issuer)
+        self._held = tickets.HandoverBook()
+        self._ends: dict[int, asyncio.Future] = {}
+        self._view = fleet_view.FleetView(me.vm_id, {})
+        link.register(ticket_handover.TicketHandover, self._on_handover)
+
+    def issue(self, organisation: str) -> str:
+        """Issues a ticket to an organisation.
+
+        Raises:
+            errors.TicketError: This VM is stopping or has too many running
+                tickets; the request did not run.
+        """
+        ticket = self._book.issue(organisation)
+        if ticket is None:
+            reason = "stopping" if self._book.closed else "too many tickets run"
+            raise errors.TicketError("ticket.issue", "-", reason)
+        return ticket
+
+    def begin(
+        self,
+        ticket: str,
+        organisation: str,
+        digest: str,
+        forwarded: bool = False,
+    ) -> ticket_step.TicketStep:
+        """Decides what to do with a request that carries a ticket.
+
+        Args:
+            ticket: Value of the header ``Idempotency-Key``.
+            organisation: Organisation of the caller's key.
+            digest: Digest of method, path and body.
+            forwarded: Whether another VM forwarded the request; such a
+                request is not forwarded again.
+        """
+        parsed = tickets.parse(ticket)
+        if parsed is None:
+            return ticket_step.Mismatch("the ticket is malformed")
+        issuer, sequence = parsed
+        now_s = self._clock()
+        if issuer == self._issuer:
+            return self._book.begin(sequence, organisation, digest, now_s)
+        held = self._held.begin(issuer, sequence, organisation, digest, now_s)
+        if held is not None:
+            return held
+        if forwarded:
+            return ticket_step.Unknown("this VM does not know the ticket")
+        targets = self._targets(issuer)
+        if not targets:
+            return ticket_step.Unknown("the issuing VM is not reachable")
+        return ticket_step.Forward(targets)
+
+    def finish(
+        self,
+        ticket: str,
+        outcome: ticket_outcome.TicketOutcome,
+        attempt: int | None = None,
+    ) -> None:
+        """Ends the running attempt of a ticket and wakes those that wait.
+
+        Must be called exactly once for each ``Run``, also when the request
+        is cancelled; without a certain outcome the kind is ``"unknown"``.
+
+        Args:
+            ticket: The ticket.
+            outcome: How the attempt ended.
+            attempt: Number from ``Run``; None for the running attempt.
+        """
+        sequence = self._own_sequence(ticket)
+        if sequence is None:
+            return
+        stored = self._book.finish(sequence, outcome, self._clock(), attempt)
+        if stored is None:
+            logging.error("ticket.finish: %s: no such attempt runs", ticket)
+            return
+        end = self._ends.pop(sequence, None)
+        if end is not None and not end.done():
+            end.set_result(stored)
+
+    async def wait(self, ticket: str) -> ticket_outcome.TicketOutcome:
+        """Waits for the end of the running attempt and returns its outcome.
+
+        After ``"not_run"`` the caller may call ``begin`` again.
+        """
+        sequence = self._own_sequence(ticket)
+        if sequence is None:
+            return ticket_outcome.UNKNOWN
+        if not self._book.is_running(sequence):
+            return self._book.outcome(sequence) or ticket_outcome.UNKNOWN
+        end = self._ends.get(sequence)
+        if end is None:
+            end = asyncio.get_running_loop().create_future()
+            self._ends[sequence] = end
+        # One waiter that is cancelled must not cancel the others.
+        return await asyncio.shield(end)
+
+    @property
+    def running(self) -> int:
+        """The number of running tickets, for a graceful stop."""
+        return self._book.running
+
+    def close_unused(self) -> int:
+        """Stops issuing and closes unused tickets; returns how many."""
+        return self._book.close_unused()
+
+    async def hand_over(self) -> tuple[str, ...]:
+        """Sends the outcomes to 2 peers, after running tickets have ended.
+
+        Returns:
+            Names of the peers that were sent all parts.
+        """
+        self.close_unused()
+        self._book.expire(self._clock())
+        entries = list(self._book.handover())
+        peers = []
+        for vm_id in tickets.rank(self._issuer, self._holders(self._issuer)):
+            if len(peers) == HANDOVER_PEERS:
+                break
+            if await self._send_parts(vm_id, entries):
+                peers.append(vm_id)
+        return tuple(peers)
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Does nothing; tickets do not depend on the configuration."""
+
+    def on_fleet(self, view: fleet_view.FleetView) -> None:
+        """Takes a new view of the fleet."""
+        self._view = view
+
+    async def run(self) -> None:
+        """Forgets old tickets until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRE_EVERY_S)
+            self._book.expire(self._clock())
+            self._held.expire(self._clock())
+
+    def _own_sequence(self, ticket: str) -> int | None:
+        parsed = tickets.parse(ticket)
+        if parsed is None or parsed[0] != self._issuer:
+            return None
+        return parsed[1]
+
+    def _holders(self, issuer: str) -> list[str]:
+        vm_id = issuer.rpartition(".")[0]
+        return [
+            name
+            for name, known in self._view.live.items()
+            if name != vm_id
+            and not known.beat.draining
+            and name not in self._view.leaving
+        ]
+
+    def _targets(self, issuer: str) -> tuple[ticket_step.Target, ...]:
+        vm_id, _, incarnation = issuer.rpartition(".")
+        names = []
+        known = self._view.live.get(vm_id)
+        if known is not None and known.beat.incarnation == incarnation:
+            names.append(vm_id)
+        ranked = tickets.rank(issuer, [*self._holders(issuer), self._me.vm_id])
+        names += [
+            name for name in ranked[:LOOKUP_PEERS] if name != self._me.vm_id
+        ]
+        return tuple(
+            ticket_step.Target(name, self._view.live[name].beat.http)
+            for name in names
+        )
+
+    async def _send_parts(
+        self, vm_id: str, entries: list[tuple[int, bytes]]
+    ) -> bool:
+        for first in range(0, len(entries), PART_ENTRIES):
+            part = ticket_handover.TicketHandover(
+                issuer=self._issuer,
+                entries=dict(entries[first : first + PART_ENTRIES]),
+                last_sequence=self._book.last_sequence,
+            )
+            if not self._link.send(vm_id, part):
+                return False
+            await asyncio.sleep(0)
+        return True
+
+    def _on_handover(
+        self, sender: str, msg: ticket_handover.TicketHandover
+    ) -> None:
+        vm_id = msg.issuer.rpartition(".")[0]
+        if vm_id != sender or msg.issuer == self._issuer:
+            logging.warning(
+                "ticket.handover: %s: handed over tickets of %s",
+                sender,
+                msg.issuer,
+            )
+            return
+        self._held.add(msg.issuer, msg.entries, self._clock())
--- a/src/bramleyworks/errors.py
+++ b/src/bramleyworks/errors.py
@@ -41,5 +41,9 @@
     """A write may or may not have taken effect; read back to find out."""
 
 
+class TicketError(BramleyworksError):
+    """No ticket can be issued now."""
+
+
 class PlatformError(BramleyworksError):
     """A platform endpoint other than the store failed."""
--- /dev/null
+++ b/src/bramleyworks/platform/audit_log.py
@@ -0,0 +1,29 @@
+"""Reader of the audit trail in the store."""
+
+from bramleyworks.platform import store as store_module
+from bramleyworks.policy import audit_entry
+from bramleyworks.policy import audit_ring
+
+
+async def read_all(
+    store: store_module.Store,
+) -> tuple[audit_entry.AuditEntry, ...]:
+    """Reads the audit trail, oldest segment first, each entry once.
+
+    Makes one store call for each segment of the ring.
+
+    Raises:
+        errors.StoreError: The store can not be reached.
+    """
+    segments = []
+    for index in range(audit_ring.SEGMENTS):
+        entry = await store.get(audit_ring.key_of(index))
+        segment = audit_ring.decode(entry.value) if entry else None
+        if segment is not None:
+            segments.append(segment)
+    segments.sort(key=lambda segment: segment.number)
+    by_id = {}
+    for segment in segments:
+        for entry in segment.entries:
+            by_id.setdefault(entry.id, entry)
+    return tuple(by_id.values())
--- /dev/null
+++ b/src/bramleyworks/policy/canary_stats.py
@@ -0,0 +1,405 @@
+"""Evidence that a new version is worse than the old one.
+
+The statistic of each test is a binary outcome of the new version's requests:
+failed, or slower than 1.3 times the old version's p95 latency on that route
+(at most 5% are, unless the ratio of the p95 values exceeds 1.3).
+
+Each test is a sequential probability ratio test (Wald, "Sequential Tests of
+Statistical Hypotheses", Annals of Mathematical Statistics 16(2), 1945) with
+two alternatives, which only ever rejects. If the new version is not worse, the
+likelihood ratio is a test martingale, and by Ville's inequality ("Etude
+critique de la notion de collectif", 1939) it ever reaches 1/a with a
+probability of at most a. A look after each sample is therefore allowed.
+
+To detect a fault that appears late, the test restarts at 16 evenly spaced
+times, and the restart with the highest ratio counts, as in the cumulative sum
+test (Page, "Continuous Inspection Schemes", Biometrika 41, 1954). By the union
+bound over tests, alternatives and restarts, a good version is cut with a
+probability of at most ``FALSE_CUT``, as far as the old version's rate is known
+and requests fail independently.
+"""
+
+import math
+
+from bramleyworks.document import move as move_module
+from bramleyworks.policy import move
+from bramleyworks.policy import sample as sample_module
+
+FALSE_CUT = 0.005
+RESTARTS = 16
+# Failure rates are compared with this multiple of the old one plus this
+# margin, so that a difference without practical meaning is no evidence.
+RATE_FACTOR = 1.25
+RATE_MARGIN = 0.0025
+SLOW_FACTOR = 1.3
+SLOW_RATE = 0.05
+# Increase of the rate under the two alternatives.
+FAIL_RISES = (0.03, 0.3)
+SLOW_RISES = (0.1, 0.4)
+# One upstream that dies fails up to 5 requests at once, because upstreams
+# have at most 5 slots today. That alone is no evidence against the version.
+MIN_EVENTS = 6
+# Old samples needed for a p95 value with a useful precision.
+MIN_TIMED = 100
+
+_LONG_SAMPLES = 8000
+_SHORT_SAMPLES = 400
+_BUCKETS_PER_OCTAVE = 16
+_MIN_LATENCY_S = 1e-4
+_BUCKETS = _BUCKETS_PER_OCTAVE * 24
+_MAX_BUCKET_SAMPLES = 8000
+
+# Positions in a list of counts; busy samples are 4 positions further.
+_REQUESTS, _FAILED, _TIMED, _SLOW = range(4)
+_STRATUM = 4
+COUNTS = 2 * _STRATUM
+
+
+class LatencyHistogram:
+    """Recent latencies in buckets whose bounds differ by 4%.
+
+    A class with state, because copying the buckets for each request would be
+    too slow. When it is full, all counts are halved, so that old samples
+    fade.
+
+    Attributes:
+        total: Sum of the counts.
+    """
+
+    def __init__(self):
+        self._buckets = [0] * _BUCKETS
+        self.total = 0
+
+    def add(self, latency_s: float) -> None:
+        """Adds one latency in seconds."""
+        ratio = max(latency_s / _MIN_LATENCY_S, 1.0)
+        index = int(math.log2(ratio) * _BUCKETS_PER_OCTAVE)
+        self._buckets[min(index, _BUCKETS - 1)] += 1
+        self.total += 1
+        if self.total >= _MAX_BUCKET_SAMPLES:
+            self._buckets = [count // 2 for count in self._buckets]
+            self.total = sum(self._buckets)
+
+    def quantile(self, part: float) -> float:
+        """Returns the upper bound in seconds of the bucket of a quantile."""
+        left = part * self.total
+        index = 0
+        while index < _BUCKETS and left > 0:
+            left -= self._buckets[index]
+            index += 1
+        return _MIN_LATENCY_S * 2 ** (index / _BUCKETS_PER_OCTAVE)
+
+
+class Baseline:
+    """The rate of an event in the old version, with recent samples.
+
+    The upper limit is the larger of a confidence limit over many samples and
+    the plain rate over the newest ones: a fault outside of both versions
+    raises the old version's rate too, and must not cut the new one.
+    """
+
+    __slots__ = ("_long", "_short")
+
+    def __init__(self):
+        self._long = [0.0, 0.0]
+        self._short = [0.0, 0.0]
+
+    def add(self, requests: int, events: int) -> None:
+        """Adds samples of the old version."""
+        for window, limit in (
+            (self._long, _LONG_SAMPLES),
+            (self._short, _SHORT_SAMPLES),
+        ):
+            window[0] += requests
+            window[1] += events
+            if window[0] > limit:
+                scale = limit / window[0]
+                window[0] *= scale
+                window[1] *= scale
+
+    @property
+    def requests(self) -> float:
+        """The number of samples in the long window."""
+        return self._long[0]
+
+    def upper(self) -> float:
+        """Returns the upper limit of the rate, 1 without samples.
+
+        The confidence limit is the Wilson score limit with z = 2 (Wilson,
+        Journal of the American Statistical Association 22, 1927).
+        """
+        count, events = self._long
+        if count < 1:
+            return 1.0
+        rate = events / count
+        spread = math.sqrt(rate * (1 - rate) / count + 1 / (count * count))
+        limit = (rate + 2 / count + 2 * spread) / (1 + 4 / count)
+        short_count, short_events = self._short
+        if short_events >= 3:
+            limit = max(limit, short_events / short_count)
+        return min(limit, 1.0)
+
+
+class SequentialTest:
+    """Log likelihood ratios of the two alternatives since each restart.
+
+    Because ratios since different restarts differ by a constant only, the
+    lowest sum at any restart gives the highest ratio.
+    """
+
+    __slots__ = ("_sums", "_lowest", "_events", "_at_lowest", "_period")
+
+    def __init__(self):
+        self._sums = [0.0, 0.0]
+        self._lowest = [0.0, 0.0]
+        self._events = 0
+        self._at_lowest = [0, 0]
+        self._period = 0
+
+    def restart(self, period: int) -> None:
+        """Allows evidence to start now, once for each period."""
+        if period == self._period:
+            return
+        self._period = period
+        for index, total in enumerate(self._sums):
+            if total < self._lowest[index]:
+                self._lowest[index] = total
+                self._at_lowest[index] = self._events
+
+    def add(self, events: int, ratios: tuple[float, float]) -> None:
+        """Adds log likelihood ratios of some new samples."""
+        self._events += events
+        self._sums[0] += ratios[0]
+        self._sums[1] += ratios[1]
+
+    def exceeds(self, limit: float) -> bool:
+        """Returns whether the evidence of an alternative reaches a limit."""
+        return any(
+            total - lowest >= limit and self._events - before >= MIN_EVENTS
+            for total, lowest, before in zip(
+                self._sums, self._lowest, self._at_lowest, strict=True
+            )
+        )
+
+
+def log_ratios(
+    requests: int, events: int, rate: float, rises: tuple[float, float]
+) -> tuple[float, float]:
+    """Returns the log likelihood ratios of some samples.
+
+    Args:
+        requests: Number of samples.
+        events: Samples with the event.
+        rate: Highest rate of a good version.
+        rises: Rise of the rate under each alternative.
+    """
+    if rate >= 0.9 or requests == 0:
+        return (0.0, 0.0)
+    quiet = requests - events
+    first, second = (rate + (1 - rate) * rise for rise in rises)
+    return (
+        events * math.log(first / rate)
+        + quiet * math.log((1 - first) / (1 - rate)),
+        events * math.log(second / rate)
+        + quiet * math.log((1 - second) / (1 - rate)),
+    )
+
+
+class _Route:
+    """Own counts of one route, and the tests over all VMs."""
+
+    __slots__ = (
+        "counts",
+        "histograms",
+        "thresholds",
+        "fail_base",
+        "slow_base",
+        "tests",
+    )
+
+    def __init__(self, versions: tuple[str, str]):
+        self.counts = {version: [0] * COUNTS for version in versions}
+        self.histograms = (LatencyHistogram(), LatencyHistogram())
+        self.thresholds = [math.inf, math.inf]
+        self.fail_base = (Baseline(), Baseline())
+        self.slow_base = (Baseline(), Baseline())
+        self.tests = _new_tests()
+
+
+def _new_tests() -> dict[tuple[str, str], SequentialTest]:
+    return {
+        (event, load): SequentialTest()
+        for event in ("failed", "slow")
+        for load in ("any load", "over 70% load")
+    }
+
+
+class MoveEvidence:
+    """Compares the two versions of one move over all VMs.
+
+    A class with state, because copying the counts for each request would be
+    too slow. Samples are compared only with samples of the same route and the
+    same load (over or under 70% busy), since the new version's few upstreams
+    run at full load while the old ones do not.
+    """
+
+    def __init__(self, plan: move_module.Move, routes: tuple[str, ...]):
+        self._plan = plan
+        self._routes: dict[str, _Route] = {}
+        self._pooled = _new_tests()
+        self._seen: dict[tuple, list[int]] = {}
+        self._limit = math.inf
+        self.watch(routes)
+
+    def watch(self, routes: tuple[str, ...]) -> None:
+        """Adds routes to watch; a route that is watched stays."""
+        versions = (self._plan.from_version, self._plan.to_version)
+        for route in routes:
+            if route not in self._routes:
+                self._routes[route] = _Route(versions)
+        tests = len(self._pooled) * (len(self._routes) + 1) * len(FAIL_RISES)
+        self._limit = math.log(tests * RESTARTS / FALSE_CUT)
+
+    def observe(self, sample: sample_module.Sample) -> None:
+        """Counts one request of this VM."""
+        state = self._routes.get(sample.route)
+        counts = state.counts.get(sample.version) if state else None
+        if counts is None:
+            return
+        load = 1 if sample.busy else 0
+        first = load * _STRATUM
+        counts[first + _REQUESTS] += 1
+        if sample.failed:
+            # Failures are often quick and say nothing about latency.
+            counts[first + _FAILED] += 1
+            return
+        threshold_s = state.thresholds[load]
+        if threshold_s != math.inf:
+            counts[first + _TIMED] += 1
+            if sample.latency_s > threshold_s:
+                counts[first + _SLOW] += 1
+        if sample.version == self._plan.from_version:
+            state.histograms[load].add(sample.latency_s)
+
+    def totals(self) -> dict[str, list[int]]:
+        """Returns this VM's counts by ``MOVE/ROUTE/VERSION``."""
+        return {
+            f"{self._plan.id}/{route}/{version}": list(counts)
+            for route, state in self._routes.items()
+            for version, counts in state.counts.items()
+            if counts[_REQUESTS] or counts[_STRATUM + _REQUESTS]
+        }
+
+    def merge(
+        self,
+        source: tuple[str, str],
+        totals: dict[str, list[int]],
+        now_s: float,
+    ) -> None:
+        """Takes the counts of one VM that are new since its last ones.
+
+        Args:
+            source: Name and incarnation of the VM.
+            totals: Its counts as ``totals`` returns them.
+            now_s: Unix time.
+        """
+        part = (now_s - self._plan.start_s) / move.length_s(self._plan)
+        period = max(0, min(int(part * RESTARTS), RESTARTS - 1))
+        for test in self._pooled.values():
+            test.restart(period)
+        for route, state in self._routes.items():
+            for test in state.tests.values():
+                test.restart(period)
+            old = self._delta(source, route, self._plan.from_version, totals)
+            new = self._delta(source, route, self._plan.to_version, totals)
+            if old is not None:
+                self._add_old(state, old)
+            if new is not None:
+                self._add_new(state, new)
+
+    def check(self, source: tuple[str, str], now_s: float) -> str | None:
+        """Merges this VM's own counts and looks for evidence.
+
+        Returns:
+            The evidence in one sentence, None without any.
+        """
+        self._set_thresholds()
+        self.merge(source, self.totals(), now_s)
+        for route, state in self._routes.items():
+            for (event, load), test in state.tests.items():
+                if test.exceeds(self._limit):
+                    return f"more requests {event} on {route} at {load}"
+        for (event, load), test in self._pooled.items():
+            if test.exceeds(self._limit):
+                return f"more requests {event} on all routes at {load}"
+        return None
+
+    def _set_thresholds(self) -> None:
+        for state in self._routes.values():
+            for load, histogram in enumerate(state.histograms):
+                if histogram.total >= MIN_TIMED:
+                    state.thresholds[load] = SLOW_FACTOR * histogram.quantile(
+                        0.95
+                    )
+
+    def _delta(
+        self,
+        source: tuple[str, str],
+        route: str,
+        version: str,
+        totals: dict[str, list[int]],
+    ) -> list[int] | None:
+        total = totals.get(f"{self._plan.id}/{route}/{version}")
+        if total is None or len(total) != COUNTS:
+            return None
+        key = (source, route, version)
+        seen = self._seen.get(key)
+        if seen == total:
+            return None
+        self._seen[key] = list(total)
+        if seen is None:
+            return list(total)
+        delta = [now - then for now, then in zip(total, seen, strict=True)]
+        if min(delta) < 0:
+            # Counts only grow, so this is an older heartbeat.
+            self._seen[key] = seen
+            return None
+        return delta
+
+    def _add_old(self, state: _Route, delta: list[int]) -> None:
+        for load in range(2):
+            part = delta[load * _STRATUM : (load + 1) * _STRATUM]
+            state.fail_base[load].add(part[_REQUESTS], part[_FAILED])
+            state.slow_base[load].add(part[_TIMED], part[_SLOW])
+
+    def _add_new(self, state: _Route, delta: list[int]) -> None:
+        for load in range(2):
+            part = delta[load * _STRATUM : (load + 1) * _STRATUM]
+            if not part[_REQUESTS]:
+                continue
+            failed = log_ratios(
+                part[_REQUESTS],
+                part[_FAILED],
+                _fail_rate(state, load),
+                FAIL_RISES,
+            )
+            slow = log_ratios(
+                part[_TIMED], part[_SLOW], _slow_rate(state, load), SLOW_RISES
+            )
+            loads = ("any load", "over 70% load")[: load + 1]
+            for name in loads:
+                for tests in (state.tests, self._pooled):
+                    tests["failed", name].add(part[_FAILED], failed)
+                    tests["slow", name].add(part[_SLOW], slow)
+
+
+def _fail_rate(state: _Route, load: int) -> float:
+    rate = RATE_FACTOR * state.fail_base[load].upper() + RATE_MARGIN
+    # With few samples of the old version at this load, its rate at the other
+    # load bounds the rate loosely.
+    other = state.fail_base[1 - load].upper()
+    return min(rate, 3 * (RATE_FACTOR * other + RATE_MARGIN) + 0.01)
+
+
+def _slow_rate(state: _Route, load: int) -> float:
+    return max(SLOW_RATE, RATE_FACTOR * state.slow_base[load].upper())
--- /dev/null
+++ b/src/bramleyworks/policy/tickets.py
@@ -0,0 +1,436 @@
+"""Tickets that make a non-idempotent request run at most once."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import msgspec
+
+from bramleyworks.policy import ticket_outcome
+from bramleyworks.policy import ticket_step
+
+KEEP_S = 600.0
+MAX_TICKETS = 100_000
+MAX_BODY_BYTES = 64 * 1024
+MAX_BODIES_BYTES = 32_000_000
+MAX_HANDOVER_BODY_BYTES = 4 * 1024
+MAX_TICKET_CHARS = 256
+# A larger sequence can not come from an issuer and only costs time to parse.
+MAX_SEQUENCE_DIGITS = 18
+
+_DIGEST_BYTES = 16
+_SHARED_OUTCOMES = 256
+
+
+def parse(ticket: str) -> tuple[str, int] | None:
+    """Splits a ticket.
+
+    Returns:
+        The issuer ``VMID.INCARNATION`` and the sequence number, or None if
+        the ticket is malformed.
+    """
+    issuer, _, sequence = ticket[:MAX_TICKET_CHARS].rpartition(".")
+    # Only the form that issue() writes is accepted, so that one ticket has
+    # one spelling.
+    if (
+        len(ticket) > MAX_TICKET_CHARS
+        or "." not in issuer
+        or not sequence.isascii()
+        or not sequence.isdigit()
+        or len(sequence) > MAX_SEQUENCE_DIGITS
+        or sequence[0] == "0"
+    ):
+        return None
+    return issuer, int(sequence)
+
+
+def bind(organisation: str, digest: str) -> bytes:
+    """Returns the short value by which a request is recognised again."""
+    text = f"{len(organisation)}:{organisation}{digest}"
+    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+
+
+class _Record:
+    """One ticket; ``outcome`` is None while it is unused or running."""
+
+    __slots__ = ("organisation", "bound", "attempt", "running", "outcome")
+
+    def __init__(self, organisation: str):
+        self.organisation = organisation
+        self.bound: bytes | None = None
+        self.attempt = 0
+        self.running = False
+        self.outcome: ticket_outcome.TicketOutcome | None = None
+
+
+class _Shelf:
+    """The tickets of one organisation, oldest first; running are counted."""
+
+    __slots__ = ("running", "unused", "ended", "bodies", "body_bytes")
+
+    def __init__(self):
+        self.running = 0
+        self.unused: dict[int, None] = {}
+        # Monotonic time of the end by sequence number.
+        self.ended: dict[int, float] = {}
+        self.bodies: dict[int, int] = {}
+        self.body_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self.unused) + len(self.ended)
+
+
+class TicketBook:
+    """The tickets issued by one incarnation.
+
+    A class with state rather than a value, because copying 100,000 tickets
+    for each request would be too slow. Methods take the monotonic time.
+
+    A ticket that was forgotten answers "outcome unknown" and never runs.
+    When the book is full, the organisation with most tickets loses its oldest
+    ended one, then its oldest unused one, so that one organisation can not
+    push out the outcomes of another.
+
+    Attributes:
+        last_sequence: Sequence number of the newest ticket, 0 for none.
+        closed: Whether unused tickets were closed; then none is issued.
+        body_bytes: Total size of the stored bodies.
+    """
+
+    def __init__(
+        self,
+        issuer: str,
+        max_tickets: int = MAX_TICKETS,
+        max_bodies_bytes: int = MAX_BODIES_BYTES,
+    ):
+        self._issuer = issuer
+        self._max_tickets = max_tickets
+        self._max_bodies_bytes = max_bodies_bytes
+        self._records: dict[int, _Record] = {}
+        self._shelves: dict[str, _Shelf] = {}
+        self._outcomes: dict[
+            ticket_outcome.TicketOutcome, ticket_outcome.TicketOutcome
+        ] = {}
+        self.last_sequence = 0
+        self.closed = False
+        self.body_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def running(self) -> int:
+        """The number of running tickets."""
+        return sum(shelf.running for shelf in self._shelves.values())
+
+    def issue(self, organisation: str) -> str | None:
+        """Issues a ticket, or None if closed or full of running tickets."""
+        if self.closed:
+            return None
+        if len(self._records) >= self._max_tickets and not self._evict():
+            return None
+        self.last_sequence += 1
+        shelf = self._shelves.get(organisation)
+        if shelf is None:
+            shelf = self._shelves[organisation] = _Shelf()
+        shelf.unused[self.last_sequence] = None
+        self._records[self.last_sequence] = _Record(organisation)
+        return f"{self._issuer}.{self.last_sequence}"
+
+    def begin(
+        self, sequence: int, organisation: str, digest: str, now_s: float
+    ) -> ticket_step.TicketStep:
+        """Decides about a request with a ticket of this incarnation."""
+        if not 0 < sequence <= self.last_sequence:
+            return ticket_step.Mismatch("the ticket was never issued")
+        record = self._records.get(sequence)
+        if record is not None and record.outcome is not None:
+            ended_s = self._shelves[record.organisation].ended[sequence]
+            if now_s - ended_s > KEEP_S:
+                self._forget(sequence)
+                record = None
+        if record is None:
+            return ticket_step.Unknown("the ticket is no longer kept")
+        bound = bind(organisation, digest)
+        if record.organisation != organisation or record.bound not in (
+            None,
+            bound,
+        ):
+            return ticket_step.Mismatch("the ticket is for another request")
+        if record.running:
+            return ticket_step.Wait()
+        if record.outcome is not None:
+            if record.outcome.kind == "done":
+                return ticket_step.Replay(record.outcome)
+            if record.outcome.kind == "unknown":
+                return ticket_step.Unknown("the first attempt ended unknown")
+        if self.closed:
+            return ticket_step.NotRun("the issuing VM is stopping")
+        shelf = self._shelves[organisation]
+        shelf.unused.pop(sequence, None)
+        shelf.ended.pop(sequence, None)
+        shelf.running += 1
+        record.bound = bound
+        record.attempt += 1
+        record.running = True
+        record.outcome = None
+        return ticket_step.Run(record.attempt)
+
+    def finish(
+        self,
+        sequence: int,
+        outcome: ticket_outcome.TicketOutcome,
+        now_s: float,
+        attempt: int | None = None,
+    ) -> ticket_outcome.TicketOutcome | None:
+        """Ends the running attempt.
+
+        Args:
+            sequence: Sequence number of the ticket.
+            outcome: How the attempt ended.
+            now_s: Monotonic time.
+            attempt: Number from ``Run``; a late report of an earlier attempt
+                is ignored. None means the running one.
+
+        Returns:
+            The outcome as stored, or None if that attempt is not running.
+        """
+        record = self._records.get(sequence)
+        if record is None or not record.running:
+            return None
+        if attempt is not None and attempt != record.attempt:
+            return None
+        if len(outcome.body) > MAX_BODY_BYTES:
+            outcome = outcome.without_body()
+        record.running = False
+        record.outcome = outcome = self._shared(outcome)
+        shelf = self._shelves[record.organisation]
+        shelf.running -= 1
+        shelf.ended[sequence] = now_s
+        if outcome.body:
+            shelf.bodies[sequence] = len(outcome.body)
+            shelf.body_bytes += len(outcome.body)
+            self.body_bytes += len(outcome.body)
+            while self.body_bytes > self._max_bodies_bytes:
+                self._drop_oldest_body()
+        return outcome
+
+    def outcome(self, sequence: int) -> ticket_outcome.TicketOutcome | None:
+        """Returns the stored outcome, None if the ticket has none."""
+        record = self._records.get(sequence)
+        return record.outcome if record else None
+
+    def is_running(self, sequence: int) -> bool:
+        """Returns whether an attempt is running."""
+        record = self._records.get(sequence)
+        return record is not None and record.running
+
+    def close_unused(self) -> int:
+        """Closes all tickets that do not run, for good.
+
+        Returns:
+            How many had never been used.
+        """
+        self.closed = True
+        return sum(len(shelf.unused) for shelf in self._shelves.values())
+
+    def expire(self, now_s: float) -> None:
+        """Forgets the tickets that ended more than ``KEEP_S`` ago."""
+        for organisation, shelf in list(self._shelves.items()):
+            while shelf.ended:
+                sequence = next(iter(shelf.ended))
+                if now_s - shelf.ended[sequence] <= KEEP_S:
+                    break
+                self._forget(sequence)
+            if not shelf and not shelf.running:
+                del self._shelves[organisation]
+
+    def handover(self) -> Iterator[tuple[int, bytes]]:
+        """Yields the entries for the peers, newest end last.
+
+        Running tickets are left out, so that peers call them unknown.
+
+        Raises:
+            ValueError: Unused tickets are not closed yet.
+        """
+        if not self.closed:
+            raise ValueError("close_unused must come before handover")
+        for sequence, record in list(self._records.items()):
+            if record.running:
+                continue
+            outcome = record.outcome or ticket_outcome.NOT_RUN
+            if len(outcome.body) > MAX_HANDOVER_BODY_BYTES:
+                outcome = outcome.without_body()
+            entry = HandoverEntry(record.organisation, record.bound, outcome)
+            yield sequence, _ENCODER.encode(entry)
+
+    def _evict(self) -> bool:
+        shelf = max(self._shelves.values(), key=len, default=None)
+        if not shelf:
+            return False
+        self._forget(next(iter(shelf.ended or shelf.unused)))
+        return True
+
+    def _forget(self, sequence: int) -> None:
+        record = self._records.pop(sequence)
+        shelf = self._shelves[record.organisation]
+        shelf.unused.pop(sequence, None)
+        shelf.ended.pop(sequence, None)
+        self._drop_body(shelf, sequence)
+
+    def _drop_body(self, shelf: _Shelf, sequence: int) -> None:
+        size = shelf.bodies.pop(sequence, 0)
+        shelf.body_bytes -= size
+        self.body_bytes -= size
+
+    def _drop_oldest_body(self) -> None:
+        shelf = max(self._shelves.values(), key=lambda item: item.body_bytes)
+        sequence = next(iter(shelf.bodies))
+        self._drop_body(shelf, sequence)
+        record = self._records[sequence]
+        record.outcome = self._shared(record.outcome.without_body())
+
+    def _shared(
+        self, outcome: ticket_outcome.TicketOutcome
+    ) -> ticket_outcome.TicketOutcome:
+        """Returns one object for equal outcomes without a body."""
+        if outcome.body:
+            return outcome
+        if len(self._outcomes) >= _SHARED_OUTCOMES:
+            self._outcomes.clear()
+        return self._outcomes.setdefault(outcome, outcome)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverEntry:
+    """A ticket that ended or was closed at a VM that stopped.
+
+    Attributes:
+        organisation: Organisation it was issued to.
+        bound: Value of ``bind`` of its request, None if it was never used.
+        outcome: Outcome; unused tickets have the kind ``"not_run"``.
+    """
+
+    organisation: str
+    bound: bytes | None
+    outcome: ticket_outcome.TicketOutcome
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(HandoverEntry)
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    """The entries of one issuer and the time of their newest part."""
+
+    entries: dict[int, bytes]
+    size: int
+    received_s: float
+
+
+class HandoverBook:
+    """The tickets of stopped VMs for which this VM answers.
+
+    A class with state for the same reason as ``TicketBook``. Entries stay
+    encoded until they are asked for. When the book is full, the oldest
+    entries of the issuer heard of longest ago are dropped.
+
+    Attributes:
+        size: Encoded size of all entries in bytes.
+    """
+
+    def __init__(
+        self,
+        max_tickets: int = MAX_TICKETS,
+        max_bytes: int = MAX_BODIES_BYTES,
+    ):
+        self._max_tickets = max_tickets
+        self._max_bytes = max_bytes
+        self._held: dict[str, _Held] = {}
+        self._count = 0
+        self.size = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, issuer: str, entries: dict[int, bytes], now_s: float) -> None:
+        """Stores one part of a handover; a repeated part changes nothing."""
+        held = self._held.pop(issuer, None) or _Held({}, 0, now_s)
+        self._held[issuer] = held
+        held.received_s = now_s
+        for sequence, entry in entries.items():
+            if sequence not in held.entries:
+                held.entries[sequence] = entry
+                held.size += len(entry)
+                self.size += len(entry)
+                self._count += 1
+        while self._count > self._max_tickets or self.size > self._max_bytes:
+            self._drop_oldest_entry()
+
+    def expire(self, now_s: float) -> None:
+        """Forgets the issuers that handed over more than ``KEEP_S`` ago."""
+        for issuer, held in list(self._held.items()):
+            if now_s - held.received_s > KEEP_S:
+                self._drop(issuer)
+
+    def begin(
+        self,
+        issuer: str,
+        sequence: int,
+        organisation: str,
+        digest: str,
+        now_s: float,
+    ) -> ticket_step.TicketStep | None:
+        """Decides for a stopped issuer; None if its ticket is not held."""
+        held = self._held.get(issuer)
+        if held is None or now_s - held.received_s > KEEP_S:
+            return None
+        data = held.entries.get(sequence)
+        if data is None:
+            return None
+        try:
+            entry = _DECODER.decode(data)
+        except msgspec.DecodeError:
+            return ticket_step.Unknown("the handover entry is malformed")
+        if entry.organisation != organisation or entry.bound not in (
+            None,
+            bind(organisation, digest),
+        ):
+            return ticket_step.Mismatch("the ticket is for another request")
+        if entry.outcome.kind == "done":
+            return ticket_step.Replay(entry.outcome)
+        if entry.outcome.kind == "not_run":
+            return ticket_step.NotRun("the issuing VM has stopped")
+        return ticket_step.Unknown("the first attempt ended unknown")
+
+    def _drop_oldest_entry(self) -> None:
+        issuer, held = next(iter(self._held.items()))
+        if not held.entries:
+            del self._held[issuer]
+            return
+        size = len(held.entries.pop(next(iter(held.entries))))
+        held.size -= size
+        self.size -= size
+        self._count -= 1
+
+    def _drop(self, issuer: str) -> None:
+        held = self._held.pop(issuer)
+        self.size -= held.size
+        self._count -= len(held.entries)
+
+
+def rank(issuer: str, vm_ids: Iterable[str]) -> list[str]:
+    """Orders VMs by rendezvous hash of the issuer, best first.
+
+    The stopping VM hands over to the first ones, and the others look there.
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+    rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+
+    def weight(vm_id: str) -> bytes:
+        text = f"{len(issuer)}:{issuer}{vm_id}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(vm_ids, key=lambda vm_id: (weight(vm_id), vm_id))
