Add the stand-ins of the store, the upstreams and the VM list

Cause: process tests and the demo need the platform's services with the faults that the design page names, on loopback. Change: three programs (store, upstream, vm_list) on starlette and uvicorn, with switches at /-/faults. A uvicorn protocol class registers each connection's transport, because ASGI can not close a connection without an answer, shorten an answer or send bytes after it.

--- /dev/null
+++ b/src/bramleyworks_standins/run_record.py
@@ -0,0 +1,65 @@
+"""What ran on a stand-in upstream."""
+
+import collections
+
+MAX_IDENTIFIERS = 200_000
+KEY_HEADERS = ("authorization", "x-api-key")
+
+
+class RunRecord:
+    """Counts runs, and requests that did not run or did not end well.
+
+    A run counts from the moment it has a slot and its whole body.
+
+    Attributes:
+        counts: Events by name.
+        key_header_seen: Whether any request carried a caller's key.
+    """
+
+    def __init__(self):
+        self._by_request = collections.Counter()
+        self._by_ticket = collections.Counter()
+        self._by_organisation = collections.Counter()
+        self.counts = collections.Counter()
+        self.key_header_seen = False
+
+    def seen(self, headers) -> None:
+        """Notes the headers of a request that arrived."""
+        self.counts["requests"] += 1
+        if any(name in headers for name in KEY_HEADERS):
+            self.key_header_seen = True
+
+    def ran(self, headers) -> None:
+        """Counts a run under its identifiers."""
+        self.counts["runs"] += 1
+        self._by_organisation[headers.get("x-organisation", "")] += 1
+        self._add(self._by_request, headers.get("x-request-id"))
+        self._add(self._by_ticket, headers.get("idempotency-key"))
+
+    def _add(self, counter: collections.Counter, name: str | None) -> None:
+        if name is None:
+            return
+        if name in counter or len(counter) < MAX_IDENTIFIERS:
+            counter[name] += 1
+        else:
+            self.counts["unrecorded"] += 1
+
+    def as_dict(self) -> dict:
+        """Returns the answer of ``GET /-/runs``."""
+        names = (
+            "requests",
+            "runs",
+            "shed",
+            "past_deadline",
+            "cancelled",
+            "incomplete",
+            "runs_after_drain",
+            "unrecorded",
+        )
+        return {
+            **{name: self.counts[name] for name in names},
+            "key_header_seen": self.key_header_seen,
+            "by_request": dict(self._by_request),
+            "by_ticket": dict(self._by_ticket),
+            "by_organisation": dict(self._by_organisation),
+        }
--- /dev/null
+++ b/src/bramleyworks_standins/store_app.py
@@ -0,0 +1,219 @@
+"""The HTTP interface of the stand-in store.
+
+Keys: ``GET /v1/keys/KEY`` answers the value with its revision in the header
+``X-Revision``, or 404. With ``after=REVISION&wait_s=S`` it waits for a newer
+revision and answers 204 if there is none. ``PUT`` needs ``If-Revision`` (0 for
+a new key) and answers 409 if the revision is another one.
+
+Leases: ``POST /v1/leases/NAME`` with ``{"holder", "ttl_s"}`` answers
+``{"token"}`` or 409; ``DELETE /v1/leases/NAME?holder=H`` ends the lease.
+
+A 4xx answer means that the call had no effect.
+"""
+
+import asyncio
+import collections
+import time
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from bramleyworks_standins import call_limit
+from bramleyworks_standins import store_data
+from bramleyworks_standins import store_faults
+from bramleyworks_standins import switches
+from bramleyworks_standins import tracked_protocol
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_S = 60.0
+
+
+class _LeaseAsk(msgspec.Struct):
+    holder: str
+    ttl_s: float
+
+
+class StoreApp:
+    """Counts the calls and applies the fault switches to them."""
+
+    def __init__(self):
+        self._data = store_data.StoreData()
+        self._counts = collections.Counter()
+        self._waiting = 0
+        self._writes = call_limit.CallLimit()
+        self._reads = call_limit.CallLimit()
+        self._faults = switches.Switches(
+            store_faults.StoreFaults(), self._on_faults
+        )
+
+    def app(self) -> applications.Starlette:
+        """Returns the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                self._faults.route(),
+                routing.Route("/-/counts", self._get_counts),
+                routing.Route("/v1/keys/{key:path}", self._get),
+                routing.Route(
+                    "/v1/keys/{key:path}", self._put, methods=["PUT"]
+                ),
+                routing.Route(
+                    "/v1/leases/{name}", self._acquire, methods=["POST"]
+                ),
+                routing.Route(
+                    "/v1/leases/{name}", self._release, methods=["DELETE"]
+                ),
+            ]
+        )
+
+    def _on_faults(self, faults: store_faults.StoreFaults) -> None:
+        self._writes.set_rate(faults.writes_per_s)
+        self._reads.set_rate(faults.reads_per_s)
+        self._data.wake()
+
+    async def _get_counts(self, _: requests.Request) -> responses.Response:
+        kinds = ("get", "put", "watch", "lease", "release", "limited", "down")
+        counts = {kind: self._counts[kind] for kind in kinds}
+        counts["lost_replies"] = self._counts["lost_replies"]
+        counts["waiting_watches"] = self._waiting
+        return responses.JSONResponse(counts)
+
+    async def _admit(self, req, kind, limit) -> responses.Response | None:
+        """Counts a call; returns the answer if a switch ends it here."""
+        self._counts[kind] += 1
+        if self._faults.current.slow_ms:
+            await asyncio.sleep(self._faults.current.slow_ms / 1000)
+        if self._faults.current.down:
+            self._counts["down"] += 1
+            return await self._drop(req)
+        if not limit.try_take():
+            self._counts["limited"] += 1
+            return responses.JSONResponse({"error": "too many calls"}, 429)
+        return None
+
+    async def _drop(self, req: requests.Request) -> responses.Response:
+        tracked_protocol.reset(req.scope)
+        await tracked_protocol.wait_disconnect(req.receive)
+        return responses.Response(status_code=500)
+
+    async def _answer_write(self, req, answer) -> responses.Response:
+        lost = self._faults.current.lose_replies
+        if not lost:
+            return answer
+        # Goes around set(): a lost reply is not a change made by the tester.
+        self._faults.current = msgspec.structs.replace(
+            self._faults.current, lose_replies=lost - 1
+        )
+        self._counts["lost_replies"] += 1
+        return await self._drop(req)
+
+    async def _get(self, req: requests.Request) -> responses.Response:
+        if "after" in req.query_params:
+            return await self._watch(req)
+        ended = await self._admit(req, "get", self._reads)
+        return ended or self._entry(req.path_params["key"])
+
+    def _entry(self, key: str) -> responses.Response:
+        value, revision = self._data.entries.get(key, (b"", 0))
+        return responses.Response(
+            value,
+            200 if revision else 404,
+            {"X-Revision": str(revision)},
+            "application/octet-stream",
+        )
+
+    async def _watch(self, req: requests.Request) -> responses.Response:
+        try:
+            after = int(req.query_params["after"])
+            wait_s = float(req.query_params.get("wait_s", "0"))
+        except ValueError as exc:
+            return responses.JSONResponse({"error": str(exc)}, 400)
+        ended = await self._admit(req, "watch", self._reads)
+        if ended:
+            return ended
+        key = req.path_params["key"]
+        end_s = time.monotonic() + min(wait_s, MAX_WAIT_S)
+        gone = asyncio.create_task(
+            tracked_protocol.wait_disconnect(req.receive)
+        )
+        self._waiting += 1
+        try:
+            while self._data.revision_of(key) <= after:
+                changed = asyncio.create_task(self._data.changed.wait())
+                await asyncio.wait(
+                    {changed, gone},
+                    timeout=max(0.0, end_s - time.monotonic()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                changed.cancel()
+                if gone.done() or time.monotonic() >= end_s:
+                    break
+                if self._faults.current.down:
+                    break
+        finally:
+            self._waiting -= 1
+            gone.cancel()
+        if self._faults.current.down:
+            self._counts["down"] += 1
+            return await self._drop(req)
+        if self._data.revision_of(key) > after:
+            return self._entry(key)
+        return responses.Response(
+            status_code=204,
+            headers={"X-Revision": str(self._data.revision_of(key))},
+        )
+
+    async def _put(self, req: requests.Request) -> responses.Response:
+        try:
+            expected = int(req.headers["if-revision"])
+        except (KeyError, ValueError):
+            return responses.JSONResponse({"error": "no If-Revision"}, 400)
+        value = bytearray()
+        async for chunk in req.stream():
+            value += chunk
+            if len(value) > MAX_VALUE_BYTES:
+                return responses.JSONResponse({"error": "too long"}, 413)
+        ended = await self._admit(req, "put", self._writes)
+        if ended:
+            return ended
+        key = req.path_params["key"]
+        revision = self._data.put(key, bytes(value), expected)
+        if revision is None:
+            return responses.JSONResponse(
+                {"error": "another revision"},
+                409,
+                {"X-Revision": str(self._data.revision_of(key))},
+            )
+        return await self._answer_write(
+            req, responses.Response(headers={"X-Revision": str(revision)})
+        )
+
+    async def _acquire(self, req: requests.Request) -> responses.Response:
+        try:
+            ask = msgspec.json.decode(await req.body(), type=_LeaseAsk)
+        except msgspec.DecodeError as exc:
+            return responses.JSONResponse({"error": str(exc)}, 400)
+        ended = await self._admit(req, "lease", self._writes)
+        if ended:
+            return ended
+        token = self._data.acquire(
+            req.path_params["name"], ask.holder, ask.ttl_s
+        )
+        if token is None:
+            return responses.JSONResponse({"error": "held by another"}, 409)
+        return await self._answer_write(
+            req, responses.JSONResponse({"token": token})
+        )
+
+    async def _release(self, req: requests.Request) -> responses.Response:
+        ended = await self._admit(req, "release", self._writes)
+        if ended:
+            return ended
+        self._data.release(
+            req.path_params["name"], req.query_params.get("holder", "")
+        )
+        return await self._answer_write(
+            req, responses.Response(status_code=204)
+        )
--- /dev/null
+++ b/src/bramleyworks_standins/store_data.py
@@ -0,0 +1,69 @@
+"""The entries and leases of the stand-in store."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+
+class StoreData:
+    """Entries by key with one revision counter, and leases.
+
+    Attributes:
+        entries: Value and revision by key.
+        changed: Set and replaced at each change; also set by ``wake``.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self._clock = clock
+        self._revision = 0
+        self._token = 0
+        self._leases: dict[str, tuple[str, int, float]] = {}
+        self.entries: dict[str, tuple[bytes, int]] = {}
+        self.changed = asyncio.Event()
+
+    def wake(self) -> None:
+        """Makes all waiting watches look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def revision_of(self, key: str) -> int:
+        """Returns the revision of a key, 0 if it has no entry."""
+        return self.entries.get(key, (b"", 0))[1]
+
+    def put(self, key: str, value: bytes, expected: int) -> int | None:
+        """Writes if the revision is the expected one.
+
+        Returns:
+            The new revision, None if the revision is another one.
+        """
+        if self.revision_of(key) != expected:
+            return None
+        self._revision += 1
+        self.entries[key] = (value, self._revision)
+        self.wake()
+        return self._revision
+
+    def acquire(self, name: str, holder: str, ttl_s: float) -> int | None:
+        """Takes or renews a lease.
+
+        Returns:
+            The fencing token, None if another holder has the lease. The token
+            grows whenever the lease was not held without a gap.
+        """
+        now_s = self._clock()
+        known = self._leases.get(name)
+        if known and known[2] > now_s:
+            if known[0] != holder:
+                return None
+            token = known[1]
+        else:
+            self._token += 1
+            token = self._token
+        self._leases[name] = (holder, token, now_s + ttl_s)
+        return token
+
+    def release(self, name: str, holder: str) -> None:
+        """Ends a lease if this holder has it."""
+        known = self._leases.get(name)
+        if known and known[0] == holder:
+            del self._leases[name]
--- /dev/null
+++ b/src/bramleyworks_standins/upstream_app.py
@@ -0,0 +1,295 @@
+"""The HTTP interface of the stand-in upstream.
+
+``GET /documents/NAME?bytes=N`` streams N bytes. Every other path answers with
+JSON that names the upstream and repeats what it received, so that a caller can
+tell whether an answer belongs to its own request.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import time
+from collections.abc import Iterable
+
+import msgspec
+from starlette import applications
+from starlette import datastructures
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from bramleyworks_standins import health_view
+from bramleyworks_standins import pattern
+from bramleyworks_standins import run_plan
+from bramleyworks_standins import run_record
+from bramleyworks_standins import service_time
+from bramleyworks_standins import slot_pool
+from bramleyworks_standins import switches
+from bramleyworks_standins import tracked_protocol
+from bramleyworks_standins import upstream_faults
+from bramleyworks_standins import upstream_options
+
+DOCUMENTS = "/documents/"
+
+# A run that starts later than this after a drain counts as an offence; design
+# page, invariant I11.
+DRAIN_GRACE_S = 3.0
+
+_STALE_BODY = b'{"stale": true}'
+_STALE_ANSWER = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+    b"content-length: %d\r\n\r\n%s" % (len(_STALE_BODY), _STALE_BODY)
+)
+
+
+class _Drain(msgspec.Struct, forbid_unknown_fields=True):
+    draining: bool = True
+    refuse: bool = False
+
+
+class UpstreamApp:
+    """Runs requests in slots, with the faults that are switched on."""
+
+    def __init__(self, options: upstream_options.UpstreamOptions):
+        self._options = options
+        self._pool = slot_pool.SlotPool(options.slots, options.queue)
+        self._times = service_time.ServiceTime(options)
+        self._rng = random.Random(options.seed + 1)
+        self._record = run_record.RunRecord()
+        self._drain = _Drain(draining=False)
+        self._drained_s = 0.0
+        self._health = health_view.HealthView(self._state)
+        self._faults = switches.Switches(
+            upstream_faults.UpstreamFaults(), self._health.on_switch
+        )
+
+    def app(self) -> applications.Starlette:
+        """Returns the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                self._faults.route(),
+                routing.Route("/-/health", self._get_health),
+                routing.Route("/-/runs", self._get_runs),
+                routing.Route("/-/drain", self._post_drain, methods=["POST"]),
+                routing.Mount("/", app=self._serve),
+            ]
+        )
+
+    def _state(self) -> dict:
+        return {
+            "status": "draining" if self._drain.draining else "ok",
+            "busy": self._pool.busy,
+            "slots": self._pool.slots,
+            "version": self._options.version,
+        }
+
+    async def _get_health(self, _: requests.Request) -> responses.Response:
+        if self._faults.current.health == "error":
+            return responses.JSONResponse({"error": "switched on"}, 500)
+        return responses.JSONResponse(self._health.show(self._faults.current))
+
+    async def _get_runs(self, _: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                **self._record.as_dict(),
+                "max_busy": self._pool.max_busy,
+                "max_waiting": self._pool.max_waiting,
+            }
+        )
+
+    async def _post_drain(self, req: requests.Request) -> responses.Response:
+        try:
+            drain = msgspec.json.decode(await req.body() or b"{}", type=_Drain)
+        except msgspec.DecodeError as exc:
+            return responses.JSONResponse({"error": str(exc)}, 400)
+        if drain.draining and not self._drain.draining:
+            self._drained_s = time.monotonic()
+        self._drain = drain
+        self._health.on_state(self._faults.current)
+        return responses.JSONResponse(msgspec.to_builtins(drain))
+
+    async def _serve(self, scope, receive, send) -> None:
+        """Serves one request as an ASGI application.
+
+        The raw interface is needed to cancel a run when the caller leaves.
+        """
+        headers = datastructures.Headers(scope=scope)
+        self._record.seen(headers)
+        body = hashlib.sha256()
+        size = 0
+        while True:
+            part = await receive()
+            if part["type"] == "http.disconnect":
+                self._record.counts["incomplete"] += 1
+                return
+            body.update(part.get("body", b""))
+            size += len(part.get("body", b""))
+            if not part.get("more_body"):
+                break
+        echo = {"bytes": size, "sha256": body.hexdigest()}
+        job = asyncio.create_task(self._run(scope, headers, echo, send))
+        gone = asyncio.create_task(receive())
+        await asyncio.wait({job, gone}, return_when=asyncio.FIRST_COMPLETED)
+        gone.cancel()
+        if not job.done():
+            job.cancel()
+            self._record.counts["cancelled"] += 1
+            with contextlib.suppress(asyncio.CancelledError):
+                await job
+            return
+        plan = job.result()
+        if plan.resets or plan.short:
+            await tracked_protocol.wait_disconnect(receive)
+        elif plan.extra:
+            await asyncio.sleep(plan.extra_after_ms / 1000)
+            transport = tracked_protocol.transport_of(scope)
+            if transport is not None and not transport.is_closing():
+                transport.write(_STALE_ANSWER)
+
+    async def _run(self, scope, headers, echo, send) -> run_plan.RunPlan:
+        deadline_s = _deadline_s(headers)
+        if self._drain.draining and self._drain.refuse:
+            return await self._refuse("draining", send)
+        if not await self._pool.acquire(_remaining_s(deadline_s)):
+            return await self._refuse("no free slot", send)
+        with contextlib.ExitStack() as slot:
+            slot.callback(self._give_back)
+            if _remaining_s(deadline_s) == 0.0:
+                slot.close()
+                return await self._refuse("deadline passed", send)
+            return await self._run_in_slot(
+                scope, headers, echo, send, slot, deadline_s
+            )
+
+    async def _run_in_slot(
+        self, scope, headers, echo, send, slot, deadline_s
+    ) -> run_plan.RunPlan:
+        self._record.ran(headers)
+        if (
+            self._drain.draining
+            and time.monotonic() > self._drained_s + DRAIN_GRACE_S
+        ):
+            self._record.counts["runs_after_drain"] += 1
+        self._health.on_state(self._faults.current)
+        plan = run_plan.draw(
+            self._faults.current,
+            scope["path"],
+            self._pool.busy,
+            time.monotonic() - self._faults.changed_s,
+            self._rng,
+        )
+        time_s = self._times.draw_s() * plan.slow_factor
+        left_s = _remaining_s(deadline_s)
+        if left_s is not None and left_s < time_s:
+            await asyncio.sleep(left_s)
+            self._record.counts["past_deadline"] += 1
+            slot.close()
+            await _answer_json(send, 504, {"error": "deadline passed"})
+            return run_plan.RunPlan()
+        await asyncio.sleep(time_s)
+        if plan.resets:
+            slot.close()
+            tracked_protocol.reset(scope)
+            return plan
+        if plan.late_ms:
+            slot.close()
+            await asyncio.sleep(plan.late_ms / 1000)
+        await self._answer_run(scope, headers, echo, send, slot, plan)
+        return plan
+
+    async def _answer_run(self, scope, headers, echo, send, slot, plan) -> None:
+        path = scope["path"]
+        if plan.fails:
+            size, parts = _json_body({"error": "switched on"})
+        elif path.startswith(DOCUMENTS) and scope["method"] == "GET":
+            query = datastructures.QueryParams(scope["query_string"])
+            size = int(query.get("bytes", "0"))
+            parts = pattern.chunks(path.removeprefix(DOCUMENTS), size)
+        else:
+            size, parts = _json_body(
+                {
+                    "upstream": self._options.name,
+                    "version": self._options.version,
+                    "method": scope["method"],
+                    "path": path,
+                    "query": scope["query_string"].decode("latin-1"),
+                    "request_id": headers.get("x-request-id"),
+                    "organisation": headers.get("x-organisation"),
+                    "ticket": headers.get("idempotency-key"),
+                    **echo,
+                }
+            )
+        await _start(send, 500 if plan.fails else 200, size)
+        to_send = size // 2 if plan.short else size
+        for part in parts:
+            part = part[:to_send]
+            to_send -= len(part)
+            if not to_send:
+                # The caller may use the slot again as soon as it has the last
+                # byte.
+                slot.close()
+            await _send_part(send, part)
+            if not to_send:
+                break
+        if plan.short:
+            tracked_protocol.close(scope)
+            return
+        slot.close()
+        await send({"type": "http.response.body", "body": b""})
+
+    def _give_back(self) -> None:
+        self._pool.release()
+        self._health.on_state(self._faults.current)
+
+    async def _refuse(self, reason: str, send) -> run_plan.RunPlan:
+        self._record.counts["shed"] += 1
+        await _answer_json(
+            send, 503, {"error": reason}, ((b"x-not-run", b"1"),)
+        )
+        return run_plan.RunPlan()
+
+
+def _deadline_s(headers) -> float | None:
+    text = headers.get("x-deadline-ms", "")
+    if not text.isdecimal():
+        return None
+    return time.monotonic() + int(text) / 1000
+
+
+def _remaining_s(deadline_s: float | None) -> float | None:
+    if deadline_s is None:
+        return None
+    return max(0.0, deadline_s - time.monotonic())
+
+
+def _json_body(content: dict) -> tuple[int, Iterable[bytes]]:
+    data = msgspec.json.encode(content)
+    return len(data), (data,)
+
+
+async def _start(
+    send, status: int, size: int, headers=(), kind=b"application/json"
+) -> None:
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (b"content-type", kind),
+                (b"content-length", b"%d" % size),
+                *headers,
+            ],
+        }
+    )
+
+
+async def _send_part(send, part: bytes) -> None:
+    await send({"type": "http.response.body", "body": part, "more_body": True})
+
+
+async def _answer_json(send, status: int, content: dict, headers=()) -> None:
+    size, parts = _json_body(content)
+    await _start(send, status, size, headers)
+    for part in parts:
+        await send({"type": "http.response.body", "body": part})
--- /dev/null
+++ b/src/bramleyworks_standins/vm_list.py
@@ -0,0 +1,23 @@
+"""Stand-in of the platform's list of VMs."""
+
+import click
+
+from bramleyworks_standins import server
+from bramleyworks_standins import vm_list_app
+
+
+@click.command()
+@server.options
+@click.option(
+    "--lag-s",
+    type=float,
+    default=0.5,
+    help="Seconds until a change shows.",
+)
+def main(host: str, port: int, lag_s: float) -> None:
+    """Serves a list that is empty until POST /vms."""
+    server.serve(vm_list_app.VmListApp(lag_s).app(), host, port)
+
+
+if __name__ == "__main__":
+    main()
