--- /dev/null
+++ b/src/bramleyworks/platform/http_session.py
@@ -0,0 +1,30 @@
+"""Client sessions for the services of the platform."""
+
+import aiohttp
+
+# Shorter than the idle limit of common servers (5 s), so that a call rarely
+# meets a connection that the server is closing.
+IDLE_CONNECTION_S = 3.0
+CONNECT_TIMEOUT_S = 0.5
+
+
+def create(timeout_s: float, **kwargs) -> aiohttp.ClientSession:
+    """Returns a session that sends each request at most once.
+
+    Args:
+        timeout_s: Longest time of one call, including the connection.
+        **kwargs: Passed to ``aiohttp.ClientSession``.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(keepalive_timeout=IDLE_CONNECTION_S),
+        timeout=aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        headers={"Accept-Encoding": "identity"},
+        **kwargs,
+    )
+    # aiohttp repeats idempotent methods, PUT among them, after the loss of a
+    # reused connection, which would double a write. It has no public switch.
+    session._retry_connection = False
+    return session
