--- a/src/bramleyworks/daemon/call.py
+++ b/src/bramleyworks/daemon/call.py
@@ -42,3 +42,10 @@
         if not query:
             return path
         return f"{path}?{query.decode('ascii', 'replace')}"
+
+
+def with_header(item: Call, name: bytes, value: bytes) -> Call:
+    """Returns the call with one more header for its answer."""
+    return dataclasses.replace(
+        item, extra_headers=(*item.extra_headers, (name, value))
+    )
--- /dev/null
+++ b/src/bramleyworks/daemon/daemon.py
@@ -0,0 +1,313 @@
+"""Builds the tasks of a daemon and connects them."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import uuid
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import api
+from bramleyworks.daemon import audit_task
+from bramleyworks.daemon import config_task
+from bramleyworks.daemon import forwarder
+from bramleyworks.daemon import front
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import ledger_task
+from bramleyworks.daemon import limit_task
+from bramleyworks.daemon import member_task
+from bramleyworks.daemon import metrics
+from bramleyworks.daemon import move_task
+from bramleyworks.daemon import peer_link
+from bramleyworks.daemon import probe_task
+from bramleyworks.daemon import proxy
+from bramleyworks.daemon import refusal
+from bramleyworks.daemon import relay
+from bramleyworks.daemon import server
+from bramleyworks.daemon import settings
+from bramleyworks.daemon import slot_task
+from bramleyworks.daemon import status
+from bramleyworks.daemon import ticket_desk
+from bramleyworks.daemon import ticketed
+from bramleyworks.document import stored_config
+from bramleyworks.messages import heartbeat
+from bramleyworks.platform import probe
+from bramleyworks.platform import store_http
+from bramleyworks.platform import vm_list
+from bramleyworks.policy import block_table
+from bramleyworks.policy import entry
+from bramleyworks.policy import entry_vm
+from bramleyworks.policy import member_table
+from bramleyworks.policy import site
+
+# Callers keep a look-up for its lifetime; one second more covers its way.
+LOOKUP_DRAIN_S = entry.TTL_S + 1.0
+DRAIN_POLL_S = 0.05
+
+
+class Daemon:
+    """All tasks of one daemon; an asynchronous context manager."""
+
+    def __init__(self, cfg: settings.Settings):
+        self._cfg = cfg
+        self._stack = contextlib.AsyncExitStack()
+        self._draining = False
+        self._started_s = time.monotonic()
+        self.me = identity.Identity(
+            vm_id=cfg.vm_id,
+            incarnation=uuid.uuid4().hex[:12],
+            region=cfg.region,
+            failure_domain=cfg.failure_domain,
+            http=cfg.http,
+            peer=cfg.peer,
+        )
+        self._kv = store_http.HttpStore(cfg.store_url)
+        self._listing = vm_list.VmList(cfg.vm_list_url)
+        self._prober = probe.Probe()
+        self._forwarder = forwarder.Forwarder()
+        self._relay = relay.Relay(self.me)
+        self._metrics = metrics.Metrics()
+        self._build_tasks()
+        self._build_front()
+        self._server = server.Server(self._front, cfg.http)
+        self._subscribe()
+
+    def _build_tasks(self) -> None:
+        me = self.me
+        self._link = peer_link.PeerLink(me)
+        self._table = member_table.MemberTable(me.vm_id)
+        self._audit = audit_task.AuditTask(me, self._kv)
+        self._config = config_task.ConfigTask(
+            me, self._link, self._kv, self._table
+        )
+        self._members = member_task.MemberTask(
+            me, self._link, self._listing, self._table, self, self._cfg.seeds
+        )
+        self._ledger = ledger_task.LedgerTask(
+            me, self._link, self._kv, self._audit
+        )
+        self._limits = limit_task.LimitTask(me, self._link, self._ledger)
+        self._slots = slot_task.SlotTask(
+            me, self._link, self._ledger, self._limits
+        )
+        self._probes = probe_task.ProbeTask(self._prober, self._slots)
+        self._moves = move_task.MoveTask(me, self._link, self._kv, self._audit)
+        self._desk = ticket_desk.TicketDesk(me, self._link)
+
+    def _build_front(self) -> None:
+        forward = proxy.Proxy(
+            self._forwarder,
+            self._slots,
+            self._moves,
+            self._metrics,
+            lambda item: self._front.is_valid(item),
+        )
+        self._api = api.Api(
+            self.me, self._candidates, self._status, self._issue, self._metrics
+        )
+        self._front = front.Front(
+            self.me,
+            self._config,
+            self._limits,
+            ticketed.Ticketed(self.me, self._desk, forward, self._relay),
+            forward,
+            self._metrics,
+            self._api.app,
+            self._cfg.max_header_bytes,
+        )
+
+    @property
+    def _tasks(self) -> tuple:
+        return (
+            self._config,
+            self._ledger,
+            self._limits,
+            self._slots,
+            self._probes,
+            self._moves,
+            self._desk,
+            self._audit,
+        )
+
+    def _subscribe(self) -> None:
+        for task in self._tasks:
+            if task is not self._config:
+                self._config.subscribe(task.on_config)
+            self._members.subscribe(task.on_fleet)
+        self._config.subscribe(self._on_config)
+        self._members.subscribe_beats(
+            lambda beat: self._config.on_heartbeat(
+                beat.vm_id, beat.config_version
+            )
+        )
+
+    def _on_config(self, stored: stored_config.StoredConfig) -> None:
+        self._front.on_config(stored)
+        self._api.blocks = block_table.build(stored.doc.client_blocks)
+
+    async def __aenter__(self) -> "Daemon":
+        enter = self._stack.enter_async_context
+        await enter(self._kv)
+        await enter(self._listing)
+        await enter(self._prober)
+        await self._forwarder.open()
+        self._stack.push_async_callback(self._forwarder.close)
+        await self._relay.open()
+        self._stack.push_async_callback(self._relay.close)
+        self._link.bind()
+        self._stack.callback(self._link.close)
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        await self._stack.aclose()
+
+    async def run(self) -> None:
+        """Serves until a signal has drained the daemon."""
+        stopping = asyncio.Event()
+        self._handle_signals(stopping)
+        async with asyncio.TaskGroup() as group:
+            running = [
+                group.create_task(task.run())
+                for task in (self._link, self._members, *self._tasks)
+            ]
+            serving = group.create_task(self._server.serve())
+            waiting = group.create_task(stopping.wait())
+            await asyncio.wait(
+                (serving, waiting), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not serving.done():
+                await self._drain()
+            self._server.stop()
+            await serving
+            waiting.cancel()
+            for task in running:
+                task.cancel()
+
+    def _handle_signals(self, stopping: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+
+        def on_signal() -> None:
+            if stopping.is_set():
+                logging.warning("second signal: ending without draining")
+                self._server.abort()
+            stopping.set()
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, on_signal)
+
+    async def _drain(self) -> None:
+        """Ends the work in progress while other VMs take over."""
+        logging.info("draining")
+        self._draining = True
+        started_s = time.monotonic()
+        self._members.beat_now()
+        self._front.drain()
+        self._desk.close_unused()
+        self._ledger.start_leaving()
+        while time.monotonic() - started_s < self._cfg.drain_s:
+            if self._server.should_exit:
+                break
+            if time.monotonic() - started_s >= LOOKUP_DRAIN_S and self._idle():
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        try:
+            holders = await self._desk.hand_over()
+            logging.info("tickets handed over to %s", ", ".join(holders))
+            await self._ledger.leave()
+            await self._audit.flush()
+        except errors.BramleyworksError as exc:
+            logging.warning("stopping without a clean hand-over: %s", exc)
+
+    def _idle(self) -> bool:
+        return self._front.running == 0 and self._desk.running == 0
+
+    def heartbeat(
+        self, sequence: int, echo: int, echo_hold_s: float
+    ) -> heartbeat.Heartbeat:
+        """Returns the heartbeat to send to one neighbour."""
+        return heartbeat.Heartbeat(
+            vm_id=self.me.vm_id,
+            incarnation=self.me.incarnation,
+            sequence=sequence,
+            region=self.me.region,
+            failure_domain=self.me.failure_domain,
+            http=self.me.http,
+            peer=self.me.peer,
+            config_version=self._config.version,
+            fresh_age_s=self._config.fresh_age_s(),
+            draining=self._draining,
+            ledger_epoch=self._ledger.epoch(),
+            free_slots=self._slots.free_slots(),
+            counts=self._moves.heartbeat_counts(),
+            cuts=self._moves.cuts(),
+            echo=echo,
+            echo_hold_s=echo_hold_s,
+            joined=self._config.joined,
+        )
+
+    def _candidates(self) -> list[entry_vm.EntryVm]:
+        view = self._members.view()
+        named = [
+            entry_vm.EntryVm(
+                name,
+                item.beat.http,
+                site.Site(item.beat.region, item.beat.failure_domain),
+            )
+            for name, item in view.live.items()
+            if not item.beat.draining and name not in view.leaving
+        ]
+        if not self._draining and self.me.vm_id not in view.leaving:
+            named.append(
+                entry_vm.EntryVm(
+                    self.me.vm_id,
+                    self.me.http,
+                    site.Site(self.me.region, self.me.failure_domain),
+                )
+            )
+        return named
+
+    def _issue(self, key: bytes) -> str | refusal.Refusal:
+        table = self._front.table
+        if table is None or not self._config.is_fresh(time.monotonic()):
+            return refusal.Refusal(
+                503,
+                "not_run",
+                "tickets.fresh",
+                "this VM can not confirm its configuration",
+                retry_after_s=1,
+            )
+        owner = table.organisation(key)
+        if owner is None:
+            return refusal.Refusal(
+                401, "not_run", "tickets.key", "the key is not valid"
+            )
+        try:
+            return self._desk.issue(owner.name)
+        except errors.TicketError as exc:
+            return refusal.Refusal(
+                503, "not_run", exc.step, exc.reason, retry_after_s=1
+            )
+
+    def _status(self) -> dict:
+        return status.build(
+            self.me,
+            self._members.view(),
+            self._config,
+            self._ledger,
+            self._slots,
+            self._moves,
+            self._link,
+            self._draining,
+            time.monotonic() - self._started_s,
+        )
+
+
+async def run(cfg: settings.Settings) -> int:
+    """Runs a daemon; returns the exit code."""
+    async with Daemon(cfg) as running:
+        logging.info("daemon starts at %s", cfg.http)
+        await running.run()
+    logging.info("daemon has stopped")
+    return 0
--- a/src/bramleyworks/daemon/front.py
+++ b/src/bramleyworks/daemon/front.py
@@ -10,7 +10,6 @@
 from absl import logging
 
 from bramleyworks.daemon import admission
-from bramleyworks.daemon import attempt
 from bramleyworks.daemon import call
 from bramleyworks.daemon import config_task
 from bramleyworks.daemon import identity
@@ -159,7 +158,7 @@
             if item.body.broken:
                 return None
         async with _ends_with_caller(item):
-            return refusal_of(await self._proxy.run(item), item)
+            return proxy.refusal_of(await self._proxy.run(item), item)
         return None
 
     async def _refuse(
@@ -196,32 +195,6 @@
         await send({"type": "http.response.body", "body": body})
 
 
-def refusal_of(
-    ended: attempt.Attempt, item: call.Call
-) -> refusal.Refusal | None:
-    """Returns what is left to tell the caller, None for nothing.
-
-    After the head of an answer nothing can be said any more; the server
-    closes the connection of an answer that was not completed.
-    """
-    if ended.refusal is not None:
-        return ended.refusal
-    if ended.failure is None:
-        return None
-    if ended.started:
-        logging.warning(
-            "answer broken off: %s",
-            ended.failure.reason,
-            extra={
-                "step": "proxy.stream",
-                "peer": ended.failure.peer,
-                "request_id": item.request_id,
-            },
-        )
-        return None
-    return proxy.failure_refusal(ended.failure)
-
-
 @contextlib.asynccontextmanager
 async def _ends_with_caller(item: call.Call):
     """Cancels the block when the caller leaves."""
--- a/src/bramleyworks/daemon/proxy.py
+++ b/src/bramleyworks/daemon/proxy.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 import aiohttp
+from absl import logging
 
+from bramleyworks.daemon import acquire_ask
 from bramleyworks.daemon import answer
 from bramleyworks.daemon import attempt
 from bramleyworks.daemon import call
@@ -16,9 +18,10 @@
 from bramleyworks.daemon import move_task
 from bramleyworks.daemon import refusal
 from bramleyworks.daemon import slot
-from bramleyworks.daemon import slot_request
+from bramleyworks.daemon import slot_refusal
 from bramleyworks.daemon import slot_task
 from bramleyworks.policy import sample
+from bramleyworks.policy import slot_outcome
 
 MAX_ATTEMPTS = 2
 FAILED_STATUS = 500
@@ -84,7 +87,7 @@
         version = self._moves.choose(
             admitted.service.name, admitted.route.prefix
         )
-        ask = slot_request.SlotRequest(
+        ask = acquire_ask.AcquireAsk(
             service=admitted.service.name,
             version=version,
             organisation=admitted.organisation_name,
@@ -101,7 +104,7 @@
                 )
             taken = acquired.unwrap()
         if not self._is_valid(item):
-            self._slots.release(taken, slot_request.Outcome.NOT_SENT)
+            self._slots.release(taken, slot_outcome.SlotOutcome.NEUTRAL)
             return attempt.Attempt(
                 refusal=refusal.Refusal(
                     401,
@@ -187,29 +190,56 @@
         failed = status >= FAILED_STATUS or (
             failure is not None and not failure.shed
         )
-        if failure is not None and failure.shed:
-            outcome = slot_request.Outcome.SHED
-        elif failed:
-            outcome = slot_request.Outcome.FAILED
+        if failed:
+            outcome = slot_outcome.SlotOutcome.FAILED
+        elif failure is not None:
+            outcome = slot_outcome.SlotOutcome.NEUTRAL
         else:
-            outcome = slot_request.Outcome.DONE
+            outcome = slot_outcome.SlotOutcome.OK
         self._slots.release(taken, outcome)
         name = item.admission.service.name
         self._moves.observe(
             sample.Sample(
-                service=name,
                 route=item.admission.route.prefix,
                 version=version,
                 failed=failed,
                 latency_s=now_s - started_s,
-                busy=taken.busy,
+                busy=False,
             )
         )
         if ended.answer is not None:
             self._metrics.observe(name, status, now_s - item.started_s)
 
 
-def failure_refusal(failure: forward_failure.ForwardFailure) -> refusal.Refusal:
+def refusal_of(
+    ended: attempt.Attempt, item: call.Call
+) -> refusal.Refusal | None:
+    """Returns what is left to tell the caller, None for nothing.
+
+    After the head of an answer nothing can be said any more; the server
+    closes the connection of an answer that was not completed.
+    """
+    if ended.refusal is not None:
+        return ended.refusal
+    if ended.failure is None:
+        return None
+    if ended.started:
+        logging.warning(
+            "answer broken off: %s",
+            ended.failure.reason,
+            extra={
+                "step": "proxy.stream",
+                "peer": ended.failure.peer,
+                "request_id": item.request_id,
+            },
+        )
+        return None
+    return _failure_refusal(ended.failure)
+
+
+def _failure_refusal(
+    failure: forward_failure.ForwardFailure,
+) -> refusal.Refusal:
     """Returns what a caller is told about a failed attempt."""
     if failure.not_run:
         return refusal.Refusal(
@@ -229,7 +259,7 @@
     )
 
 
-def _slot_refusal(refused: slot_task.SlotRefusal) -> refusal.Refusal:
+def _slot_refusal(refused: slot_refusal.SlotRefusal) -> refusal.Refusal:
     return refusal.Refusal(
         503, "not_run", "proxy.slot", refused.reason, retry_after_s=1
     )
--- a/src/bramleyworks/daemon/refusal.py
+++ b/src/bramleyworks/daemon/refusal.py
@@ -11,7 +11,8 @@
 
     Attributes:
         status: HTTP status.
-        outcome: ``"not_run"`` only if no upstream can have run the request.
+        outcome: ``"not_run"`` only if no upstream can have run the request;
+            ``"done"`` if it was run before and its answer is gone.
         step: The step that refused it.
         reason: Why, without secrets.
         peer: The other side involved, ``"-"`` for none.
@@ -19,7 +20,7 @@
     """
 
     status: int
-    outcome: Literal["not_run", "unknown"]
+    outcome: Literal["not_run", "unknown", "done"]
     step: str
     reason: str
     peer: str = "-"
--- /dev/null
+++ b/src/bramleyworks/daemon/relay.py
@@ -0,0 +1,85 @@
+"""Forwards requests to the entry VM that issued their ticket."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+
+import aiohttp
+import multidict
+
+from bramleyworks.daemon import answer
+from bramleyworks.daemon import call
+from bramleyworks.daemon import headers
+from bramleyworks.daemon import identity
+from bramleyworks.policy import ticket_step
+
+CONNECT_TIMEOUT_S = 1.0
+# A VM that does not know the ticket answers with this step.
+UNKNOWN_TICKET_STATUS = 502
+
+
+class Relay:
+    """Owns the connections to other entry VMs."""
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._me = me
+        self._clock = clock
+        self._stack = contextlib.AsyncExitStack()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Opens the session."""
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            )
+        )
+        # A repeat by the library could reach the issuer twice.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._stack.aclose()
+
+    async def relay(self, target: ticket_step.Target, item: call.Call) -> bool:
+        """Sends a request to another VM and its answer to the caller.
+
+        Returns:
+            False if the VM does not know the ticket; then nothing was sent to
+            the caller.
+
+        Raises:
+            aiohttp.ClientError: The VM can not be reached.
+            TimeoutError: The deadline passed.
+        """
+        outgoing: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+        for name, value in item.scope["headers"]:
+            if name not in headers.HOP_BY_HOP and name != b"host":
+                outgoing.add(name.decode("latin-1"), value.decode("latin-1"))
+        outgoing["X-Forwarded-By"] = self._me.vm_id
+        async with asyncio.timeout(item.deadline_s - self._clock()):
+            async with self._session.request(
+                item.scope["method"],
+                f"http://{target.address}{item.target}",
+                headers=outgoing,
+                data=item.body.content(),
+                allow_redirects=False,
+            ) as response:
+                if response.status == UNKNOWN_TICKET_STATUS:
+                    return False
+                got = answer.Answer(response)
+                outcome = response.headers.get("X-Outcome")
+                if outcome:
+                    got.headers.append((b"x-outcome", outcome.encode()))
+                await got.stream(item, False)
+        return True
