--- a/src/bramleyworks/daemon/attempt.py
+++ b/src/bramleyworks/daemon/attempt.py
@@ -12,13 +12,13 @@
     """How a try ended; exactly one of the first three says why.
 
     Attributes:
-        answer: The answer that went to the caller whole.
-        refusal: No slot was to be had, so nothing was sent.
+        answered: The answer that went to the caller whole.
+        refused: No slot was to be had, so nothing was sent.
         failure: The upstream gave no whole answer.
         started: Whether the head of an answer went to the caller.
     """
 
-    answer: answer.Answer | None = None
-    refusal: refusal.Refusal | None = None
+    answered: answer.Answer | None = None
+    refused: refusal.Refusal | None = None
     failure: forward_failure.ForwardFailure | None = None
     started: bool = False
--- a/src/bramleyworks/daemon/logs.py
+++ b/src/bramleyworks/daemon/logs.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+from absl import flags
 from absl import logging as absl_logging
 
 # Fields that callers of the logger pass by ``extra``.
@@ -39,6 +40,8 @@
 
 def set_up(vm_id: str, level: str) -> None:
     """Sends all logs to standard error as JSON lines."""
+    # The settings take the place of the library's command-line flags.
+    flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(vm_id))
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -12,6 +12,7 @@
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import peer_link
 from bramleyworks.messages import heartbeat
+from bramleyworks.platform import listed_vm
 from bramleyworks.platform import vm_list
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import member_table
@@ -138,7 +139,7 @@
                 self._take_list(listed)
             await asyncio.sleep(LIST_READ_S * self._rng.uniform(0.8, 1.2))
 
-    def _take_list(self, listed: tuple[vm_list.ListedVm, ...]) -> None:
+    def _take_list(self, listed: tuple[listed_vm.ListedVm, ...]) -> None:
         self._listed = frozenset(item.id for item in listed)
         self._leaving = frozenset(
             item.id for item in listed if item.state == "leaving"
--- a/src/bramleyworks/daemon/proxy.py
+++ b/src/bramleyworks/daemon/proxy.py
@@ -100,13 +100,13 @@
             acquired = await self._slots.acquire(ask)
             if acquired.is_err():
                 return attempt.Attempt(
-                    refusal=_slot_refusal(acquired.unwrap_err())
+                    refused=_slot_refusal(acquired.unwrap_err())
                 )
             taken = acquired.unwrap()
         if not self._is_valid(item):
             self._slots.release(taken, slot_outcome.SlotOutcome.NEUTRAL)
             return attempt.Attempt(
-                refusal=refusal.Refusal(
+                refused=refusal.Refusal(
                     401,
                     "not_run",
                     "proxy.key",
@@ -160,7 +160,7 @@
                 response = got.unwrap()
                 streamed = answer.Answer(response)
                 await streamed.stream(item, self.draining)
-                return attempt.Attempt(answer=streamed, started=True)
+                return attempt.Attempt(answered=streamed, started=True)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return attempt.Attempt(
                 failure=forward_failure.ForwardFailure(
@@ -186,7 +186,7 @@
     ) -> None:
         now_s = self._clock()
         failure = ended.failure
-        status = ended.answer.status if ended.answer else 0
+        status = ended.answered.status if ended.answered else 0
         failed = status >= FAILED_STATUS or (
             failure is not None and not failure.shed
         )
@@ -207,7 +207,7 @@
                 busy=False,
             )
         )
-        if ended.answer is not None:
+        if ended.answered is not None:
             self._metrics.observe(name, status, now_s - item.started_s)
 
 
@@ -219,8 +219,8 @@
     After the head of an answer nothing can be said any more; the server
     closes the connection of an answer that was not completed.
     """
-    if ended.refusal is not None:
-        return ended.refusal
+    if ended.refused is not None:
+        return ended.refused
     if ended.failure is None:
         return None
     if ended.started:
--- a/src/bramleyworks/daemon/ticketed.py
+++ b/src/bramleyworks/daemon/ticketed.py
@@ -182,7 +182,7 @@
 
 
 def _outcome(ended: attempt.Attempt) -> ticket_outcome.TicketOutcome:
-    if ended.refusal is not None:
+    if ended.refused is not None:
         return ticket_outcome.NOT_RUN
     if ended.failure is not None:
         return (
@@ -190,7 +190,7 @@
             if ended.failure.not_run
             else ticket_outcome.UNKNOWN
         )
-    got = ended.answer
+    got = ended.answered
     content_type = headers.first(got.headers, b"content-type") or b""
     return ticket_outcome.TicketOutcome(
         "done",
--- /dev/null
+++ b/src/bramleyworks_lab/bare_upstream.py
@@ -0,0 +1,75 @@
+"""An upstream that answers at once, so that forwarders can be compared."""
+
+import click
+import uvicorn
+
+BODY = b'{"stock": 12, "price": "4.50"}'
+HEAD = {
+    "type": "http.response.start",
+    "status": 200,
+    "headers": [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(BODY)).encode()),
+    ],
+}
+HEALTH = b'{"status": "ok", "busy": 0, "slots": 64, "version": "v1"}'
+
+
+async def app(scope: dict, receive, send) -> None:
+    """Answers every request."""
+    if scope["path"] == "/-/health":
+        length = str(len(HEALTH)).encode()
+        await send(
+            HEAD
+            | {
+                "headers": [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", length),
+                ]
+            }
+        )
+        await send({"type": "http.response.body", "body": HEALTH})
+        return
+    if scope["path"].startswith("/documents/"):
+        await _send_document(scope, send)
+        return
+    await send(HEAD)
+    await send({"type": "http.response.body", "body": BODY})
+
+
+async def _send_document(scope: dict, send) -> None:
+    """Streams as many bytes as the last part of the path says."""
+    size = int(scope["path"].rpartition("/")[2])
+    chunk = bytes(64 * 1024)
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [(b"content-length", str(size).encode())],
+        }
+    )
+    while size > 0:
+        part = chunk[:size]
+        size -= len(part)
+        await send(
+            {"type": "http.response.body", "body": part, "more_body": size > 0}
+        )
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+def main(port: int) -> None:
+    """Serves until it is ended."""
+    uvicorn.run(
+        app,
+        port=port,
+        http="httptools",
+        loop="uvloop",
+        lifespan="off",
+        access_log=False,
+        log_level="warning",
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyworks_lab/http_load.py
@@ -0,0 +1,82 @@
+"""A closed-loop HTTP load on keep-alive connections to loopback."""
+
+import asyncio
+import time
+
+import click
+import uvloop
+from hdrh import histogram
+
+MAX_REQUESTS = 200_000
+MAX_SECONDS = 60.0
+HIGHEST_US = 60_000_000
+
+
+async def _connection(
+    port: int, request: bytes, count: int, latency: histogram.HdrHistogram
+) -> None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for _ in range(count):
+        started_s = time.perf_counter()
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        if not head.startswith(b"HTTP/1.1 200"):
+            raise RuntimeError(f"unexpected answer {head[:80]!r}")
+        lowered = head.lower()
+        start = lowered.index(b"content-length:") + 15
+        length = int(lowered[start : lowered.index(b"\r", start)])
+        await reader.readexactly(length)
+        latency.record_value(int((time.perf_counter() - started_s) * 1e6) or 1)
+    writer.close()
+
+
+async def run(
+    port: int, path: str, connections: int, requests: int, key: str
+) -> dict[str, float]:
+    """Sends requests and returns rate and latency.
+
+    Args:
+        port: Port on 127.0.0.1.
+        path: Path to ask for.
+        connections: Connections, each with one request at a time.
+        requests: Requests in all, at most ``MAX_REQUESTS``.
+        key: Key to send, empty for none.
+
+    Returns:
+        ``rate_per_s``, ``p50_us``, ``p99_us`` and ``mean_us``.
+    """
+    lines = [f"GET {path} HTTP/1.1", "Host: 127.0.0.1", "Accept: */*"]
+    if key:
+        lines.append(f"Authorization: Bearer {key}")
+    request = ("\r\n".join(lines) + "\r\n\r\n").encode()
+    latency = histogram.HdrHistogram(1, HIGHEST_US, 3)
+    each = min(requests, MAX_REQUESTS) // connections
+    started_s = time.perf_counter()
+    async with asyncio.timeout(MAX_SECONDS):
+        async with asyncio.TaskGroup() as group:
+            for _ in range(connections):
+                group.create_task(_connection(port, request, each, latency))
+    elapsed_s = time.perf_counter() - started_s
+    return {
+        "rate_per_s": each * connections / elapsed_s,
+        "p50_us": float(latency.get_value_at_percentile(50)),
+        "p99_us": float(latency.get_value_at_percentile(99)),
+        "mean_us": latency.get_mean_value(),
+    }
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--path", default="/stock")
+@click.option("--connections", default=1)
+@click.option("--requests", default=2000)
+@click.option("--key", default="")
+def main(port: int, path: str, connections: int, requests: int, key: str):
+    """Prints rate and latency as one line of ``name=value`` pairs."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        found = runner.run(run(port, path, connections, requests, key))
+    click.echo(" ".join(f"{name}={value:.1f}" for name, value in found.items()))
+
+
+if __name__ == "__main__":
+    main()
