--- /dev/null
+++ b/src/bramleyworks/daemon/ledger_task.py
@@ -0,0 +1,244 @@
+"""Keeps this VM's entry in the ledger."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.document import stored_config
+from bramleyworks.platform import store as store_lib
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import ledger as ledger_lib
+from bramleyworks.policy import share_ledger
+
+TICK_S = 0.2
+LEAVE_POLL_S = 0.05
+
+
+class AuditSink(Protocol):
+    """Takes entries for the audit trail."""
+
+    def note(self, kind: str, subject: str, cause: str) -> None:
+        """Adds one entry."""
+
+
+class LedgerTask:
+    """Owns the VM's knowledge of the ledger; the only writer of its entry.
+
+    Args:
+        me: Identity of this process.
+        store: The platform's store.
+        audit: Takes the audit entries.
+        clock: Monotonic time in seconds.
+        rng: Returns random numbers in [0, 1).
+    """
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        store: store_lib.Store,
+        audit: AuditSink,
+        clock: Callable[[], float] = time.monotonic,
+        rng: Callable[[], float] = random.random,
+    ):
+        self._store = store
+        self._audit = audit
+        self._clock = clock
+        self._rng = rng
+        now_s = clock()
+        self._state = share_ledger.ShareState(
+            me.vm_id, me.incarnation, me.region, now_s
+        )
+        self._alive_s = now_s
+        self._units = 0
+        self._upstreams: frozenset[str] = frozenset()
+        self._owners: dict[str, str] = {}
+        self._owners_of: ledger_lib.Ledger | None = None
+        self._valid_from_s = 0.0
+        self._valid_until_s = 0.0
+
+    def units(self) -> int:
+        """Returns the units that may be used now."""
+        return self.units_at(self._clock())
+
+    def units_at(self, now_s: float) -> int:
+        """Returns the units that may be used at the time just read."""
+        if now_s - self._alive_s > share_ledger.PAUSE_S:
+            self._paused(now_s)
+        if self._valid_from_s <= now_s < self._valid_until_s:
+            return self._units
+        return 0
+
+    def owned(self) -> frozenset[str]:
+        """Returns the upstreams that this VM owns now."""
+        now_s = self._clock()
+        if now_s - self._alive_s > share_ledger.PAUSE_S:
+            self._paused(now_s)
+        if self._valid_from_s <= now_s < self._valid_until_s:
+            return self._upstreams
+        return frozenset()
+
+    def owner_of(self, upstream: str) -> str | None:
+        """Returns the VM that owns an upstream, as last known."""
+        return self._owners.get(upstream)
+
+    def epoch(self) -> int:
+        """Returns the newest epoch read, 0 for none."""
+        return share_ledger.epoch(self._state)
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Takes a newer configuration into force."""
+        self._set(
+            share_ledger.on_upstreams(
+                self._state,
+                tuple((up.name, up.region) for up in stored.doc.upstreams),
+            )
+        )
+
+    def on_fleet(self, view: fleet_view.FleetView) -> None:
+        """Takes a new view of the fleet."""
+        now_s = self._clock()
+        self._tick(now_s)
+        self._set(share_ledger.on_fleet(self._state, now_s, view, self._rng()))
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            # A slow store must not look like a pause of this process.
+            group.create_task(self._tick_always())
+            group.create_task(self._work_always())
+
+    async def step(self) -> None:
+        """Makes the next call to the store if there is work to do."""
+        now_s = self._clock()
+        self._tick(now_s)
+        state, action = share_ledger.on_tick(self._state, now_s, self._rng())
+        self._set(state)
+        if isinstance(action, share_ledger.Read):
+            await self._read()
+        elif isinstance(action, share_ledger.Write):
+            await self._write(action)
+
+    async def leave(self, timeout_s: float = 5.0) -> bool:
+        """Gives units and upstreams back before a planned stop.
+
+        Needs ``run`` to go on meanwhile.
+
+        Returns:
+            Whether the ledger no longer holds an entry of this process.
+        """
+        now_s = self._clock()
+        self._set(share_ledger.on_leave(self._state, now_s))
+        while share_ledger.own_entry(self._state) is not None:
+            if self._clock() - now_s > timeout_s:
+                return False
+            await asyncio.sleep(LEAVE_POLL_S)
+        return True
+
+    async def _tick_always(self) -> None:
+        while True:
+            self._tick(self._clock())
+            await asyncio.sleep(TICK_S)
+
+    async def _work_always(self) -> None:
+        while True:
+            await self.step()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self, now_s: float) -> None:
+        if now_s - self._alive_s > share_ledger.PAUSE_S:
+            self._paused(now_s)
+        self._alive_s = now_s
+
+    def _paused(self, now_s: float) -> None:
+        gap_s = now_s - self._alive_s
+        logging.warning("no progress for %.1f s; units set to zero", gap_s)
+        self._audit.note(
+            "ledger.paused", self._state.vm_id, f"no progress for {gap_s:.1f} s"
+        )
+        self._alive_s = now_s
+        self._set(share_ledger.on_pause(self._state, now_s))
+
+    def _set(self, state: share_ledger.ShareState) -> None:
+        before = self._state
+        if state is before:
+            return
+        self._state = state
+        self._units = share_ledger.local_units(state)
+        self._upstreams = share_ledger.local_upstreams(state)
+        self._valid_from_s = share_ledger.usable_from_s(state)
+        self._valid_until_s = share_ledger.valid_until_s(state)
+        if state.known is not self._owners_of:
+            self._owners_of = state.known
+            self._owners = share_ledger.owners(state)
+        if before.joined and not state.joined:
+            cause = (
+                "a later incarnation holds the entry"
+                if state.superseded
+                else "another VM removed the entry"
+            )
+            logging.warning("ledger entry lost: %s", cause)
+            self._audit.note("ledger.lost", state.vm_id, cause)
+
+    async def _read(self) -> None:
+        sent_s = self._clock()
+        try:
+            entry = await self._store.get(ledger_lib.LEDGER_KEY)
+        except errors.StoreError as exc:
+            self._failed(exc)
+            return
+        value = None
+        if entry is not None:
+            decoded = ledger_lib.decode(entry.value)
+            if decoded.is_err():
+                self._failed(decoded.unwrap_err())
+                return
+            value = decoded.unwrap()
+        self._set(
+            share_ledger.on_read(
+                self._state,
+                sent_s,
+                self._clock(),
+                value,
+                entry.revision if entry is not None else 0,
+            )
+        )
+
+    async def _write(self, write: share_ledger.Write) -> None:
+        sent_s = self._clock()
+        try:
+            entry = await self._store.put(
+                ledger_lib.LEDGER_KEY,
+                ledger_lib.encode(write.ledger),
+                write.expected_revision,
+            )
+        except errors.StoreConflictError:
+            self._set(
+                share_ledger.on_failed(
+                    self._state, self._clock(), self._rng(), conflict=True
+                )
+            )
+            return
+        except errors.StoreError as exc:
+            self._failed(exc)
+            return
+        self._set(
+            share_ledger.on_written(
+                self._state, sent_s, self._clock(), write, entry.revision
+            )
+        )
+        for kind, subject in write.notes:
+            self._audit.note(kind, subject, f"epoch {write.ledger.epoch}")
+
+    def _failed(self, exc: errors.StoreError) -> None:
+        logging.log_every_n_seconds(
+            logging.WARNING, "ledger not available: %s", 10, exc
+        )
+        self._set(
+            share_ledger.on_failed(self._state, self._clock(), self._rng())
+        )
--- /dev/null
+++ b/src/bramleyworks/policy/share_ledger.py
@@ -0,0 +1,660 @@
+"""Decisions of one VM about its entry in the ledger.
+
+A VM uses its units only while it has evidence that no other VM may use them:
+
+- its own read of the ledger, sent at most ``READ_VALID_S`` ago, that shows its
+  entry; or
+- heartbeats, at most ``PEERS_VALID_S`` old, from enough members that they and
+  the VM are a majority, none of which knows a newer epoch.
+
+Units and upstreams that a removal or a takeover has freed are used only
+``REMOVAL_WAIT_S`` after a majority is known to have read that epoch. Two
+majorities intersect, so the former holder has lost both kinds of evidence by
+then. The waits leave one second for the delay of a message.
+"""
+
+import dataclasses
+import math
+
+import msgspec
+
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import ledger as ledger_lib
+from bramleyworks.policy import ledger_entry
+from bramleyworks.policy import token_bucket
+
+READ_VALID_S = 4.0
+PEERS_VALID_S = 3.0
+REMOVAL_WAIT_S = 5.0
+GONE_UNHEARD_S = 10.0
+
+PAUSE_S = 2.0
+"""A gap in the monotonic clock above this counts as a pause."""
+
+SETTLE_S = 2.0
+"""Heartbeats count again only after the contact has held this long. After a
+pause or a partition, heartbeats that waited in buffers arrive first."""
+
+DEPOSIT_WAIT_S = token_bucket.LEND_HOLD_S + 0.25
+"""Time from lowering the local units to the deposit. Tokens lent under the
+higher units have expired by then; the excess covers the limit task's tick."""
+
+READ_EVERY_S = 2.0
+RETRY_S = 0.5
+JITTER = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """Action: read the ledger."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """Action: write the ledger by compare-and-swap.
+
+    Attributes:
+        ledger: New value.
+        expected_revision: Revision of the value it replaces, 0 for none.
+        notes: Kind and subject of the audit entries if the write takes
+            effect.
+    """
+
+    ledger: ledger_lib.Ledger
+    expected_revision: int
+    notes: tuple[tuple[str, str], ...] = ()
+
+
+Action = Read | Write
+
+
+@dataclasses.dataclass(frozen=True)
+class Doubt:
+    """A write that may or may not have taken effect.
+
+    Attributes:
+        expected_revision: Revision it would replace; a newer revision read
+            settles the doubt.
+        units: Own units if it took effect.
+        upstreams: Own upstreams if it took effect.
+    """
+
+    expected_revision: int
+    units: int
+    upstreams: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class ShareState:
+    """One VM's knowledge of the ledger and of its standing in it.
+
+    Attributes:
+        vm_id: Name of this VM.
+        incarnation: This process.
+        region: Region of this VM.
+        started_s: Time since which this process has listened to peers.
+        known: Newest ledger known, None before the first read.
+        revision: Store revision of it, 0 if the store has none.
+        joined: Whether the entry is, or was, held by this incarnation.
+        superseded: Whether a later incarnation has taken the entry over; the
+            process then never writes again.
+        ceiling: Local units never exceed it; lowered before a deposit.
+        ceiling_s: When it was last lowered.
+        doubts: Writes without a known outcome.
+        read_s: When the newest read or write that confirms the entry was sent.
+        peers_s: Time up to which a majority of members knew no newer epoch.
+        contact_s: Since when that has held without a gap, ``inf`` if not.
+        held_epoch: Epoch at which this incarnation got its entry from a
+            predecessor, 0 if there was none.
+        held_known_s: When a majority was known to have read that epoch.
+        removal_known_s: When a majority was known to have read the ledger's
+            ``removal_epoch``.
+        next_s: Earliest time of the next call to the store.
+        attempt_s: When the newest read was started.
+        stale_since_s: When a newer epoch or a failed write was first noticed
+            and not read since, ``inf`` if none.
+        leaving: Whether the VM gives its entry back for good.
+        view: Newest view of the fleet.
+        upstreams: Pairs of name and region of the document's upstreams.
+    """
+
+    vm_id: str
+    incarnation: str
+    region: str
+    started_s: float
+    known: ledger_lib.Ledger | None = None
+    revision: int = 0
+    joined: bool = False
+    superseded: bool = False
+    ceiling: int = ledger_lib.TOTAL_UNITS
+    ceiling_s: float = -math.inf
+    doubts: tuple[Doubt, ...] = ()
+    read_s: float = -math.inf
+    peers_s: float = -math.inf
+    contact_s: float = math.inf
+    held_epoch: int = 0
+    held_known_s: float = math.inf
+    removal_known_s: float = math.inf
+    next_s: float = -math.inf
+    attempt_s: float = -math.inf
+    stale_since_s: float = math.inf
+    leaving: bool = False
+    view: fleet_view.FleetView | None = None
+    upstreams: tuple[tuple[str, str], ...] = ()
+
+
+def own_entry(state: ShareState) -> ledger_entry.LedgerEntry | None:
+    """Returns the entry that this incarnation holds, as last known."""
+    if state.known is None or not state.joined or state.superseded:
+        return None
+    entry = state.known.members.get(state.vm_id)
+    if entry is None or entry.incarnation != state.incarnation:
+        return None
+    return entry
+
+
+def epoch(state: ShareState) -> int:
+    """Returns the newest epoch read, 0 before the first read."""
+    return state.known.epoch if state.known is not None else 0
+
+
+def valid_until_s(state: ShareState) -> float:
+    """Returns the time up to which the entry may be used."""
+    if own_entry(state) is None:
+        return -math.inf
+    until_s = state.read_s + READ_VALID_S
+    if state.peers_s >= state.contact_s + SETTLE_S:
+        until_s = max(until_s, state.peers_s + PEERS_VALID_S)
+    return until_s
+
+
+def usable_from_s(state: ShareState) -> float:
+    """Returns the time from which the entry may be used."""
+    if state.held_epoch:
+        return state.held_known_s + REMOVAL_WAIT_S
+    return -math.inf
+
+
+def local_units(state: ShareState) -> int:
+    """Returns the units to use while the entry may be used.
+
+    Of all outcomes that writes in doubt may have had, the lowest counts.
+    """
+    entry = own_entry(state)
+    if entry is None:
+        return 0
+    units = min(entry.units, state.ceiling)
+    for doubt in state.doubts:
+        units = min(units, doubt.units)
+    return units
+
+
+def local_upstreams(state: ShareState) -> frozenset[str]:
+    """Returns the upstreams to own while the entry may be used."""
+    entry = own_entry(state)
+    if entry is None:
+        return frozenset()
+    owned = frozenset(entry.upstreams)
+    for doubt in state.doubts:
+        owned &= doubt.upstreams
+    return owned
+
+
+def owners(state: ShareState) -> dict[str, str]:
+    """Returns the owner of each upstream, as last known."""
+    if state.known is None:
+        return {}
+    return {
+        upstream: vm_id
+        for vm_id, entry in state.known.members.items()
+        for upstream in entry.upstreams
+    }
+
+
+def on_pause(state: ShareState, now_s: float) -> ShareState:
+    """Drops all evidence after a gap in time; units are zero until new one."""
+    return dataclasses.replace(
+        state,
+        started_s=now_s,
+        read_s=-math.inf,
+        peers_s=-math.inf,
+        contact_s=math.inf,
+        next_s=min(state.next_s, now_s),
+        stale_since_s=now_s,
+    )
+
+
+def _electorate(state: ShareState) -> frozenset[str]:
+    """Returns the members whose majority counts.
+
+    Without the platform's list these are the ledger's members.
+    """
+    view = state.view
+    if view is not None and view.listed is not None:
+        return view.listed | {state.vm_id}
+    members = state.known.members if state.known is not None else {}
+    return frozenset(members) | {state.vm_id}
+
+
+def _majority_heard_s(
+    state: ShareState, now_s: float, low: int, high: float
+) -> float:
+    """Returns when a majority with epochs in a range was last complete."""
+    if state.view is None:
+        return -math.inf
+    electorate = _electorate(state)
+    heard = [now_s] if low <= epoch(state) <= high else []
+    for name, peer in state.view.live.items():
+        if (
+            name in electorate
+            and name != state.vm_id
+            and low <= peer.beat.ledger_epoch <= high
+            and peer.heard_s >= state.started_s
+        ):
+            heard.append(peer.heard_s)
+    needed = len(electorate) // 2 + 1
+    if len(heard) < needed:
+        return -math.inf
+    heard.sort(reverse=True)
+    return heard[needed - 1]
+
+
+def on_fleet(
+    state: ShareState, now_s: float, view: fleet_view.FleetView, rnd: float
+) -> ShareState:
+    """Takes a new view of the fleet.
+
+    Args:
+        state: State before.
+        now_s: Time now.
+        view: The view.
+        rnd: Random number in [0, 1) that spreads the VMs' reads.
+    """
+    state = dataclasses.replace(state, view=view)
+    known_epoch = epoch(state)
+    newest = max(
+        (peer.beat.ledger_epoch for peer in view.live.values()), default=0
+    )
+    if newest > known_epoch and state.stale_since_s == math.inf:
+        state = dataclasses.replace(
+            state,
+            stale_since_s=now_s,
+            next_s=max(state.next_s, now_s + rnd * JITTER),
+        )
+    return _count_evidence(state, now_s)
+
+
+def _count_evidence(state: ShareState, now_s: float) -> ShareState:
+    if state.known is None or state.view is None:
+        return state
+    # A member that has read no ledger yet (epoch 0) says nothing about it.
+    peers_s = _majority_heard_s(state, now_s, 1, epoch(state))
+    contact_s = state.contact_s
+    if peers_s + PEERS_VALID_S <= now_s:
+        contact_s = math.inf
+        peers_s = -math.inf
+    elif contact_s == math.inf or state.peers_s + PEERS_VALID_S <= now_s:
+        contact_s = now_s
+    changes = {"peers_s": peers_s, "contact_s": contact_s}
+    if state.removal_known_s == math.inf and _seen_by_majority(
+        state, now_s, state.known.removal_epoch
+    ):
+        changes["removal_known_s"] = now_s
+    if (
+        state.held_epoch
+        and state.held_known_s == math.inf
+        and _seen_by_majority(state, now_s, state.held_epoch)
+    ):
+        changes["held_known_s"] = now_s
+    return dataclasses.replace(state, **changes)
+
+
+def _seen_by_majority(state: ShareState, now_s: float, since: int) -> bool:
+    return _majority_heard_s(state, now_s, max(1, since), math.inf) > -math.inf
+
+
+def on_upstreams(
+    state: ShareState, upstreams: tuple[tuple[str, str], ...]
+) -> ShareState:
+    """Takes the document's upstreams as pairs of name and region."""
+    return dataclasses.replace(state, upstreams=upstreams)
+
+
+def on_leave(state: ShareState, now_s: float) -> ShareState:
+    """Starts to give the entry back, for a planned stop."""
+    if state.leaving:
+        return state
+    return dataclasses.replace(
+        state, leaving=True, ceiling=0, ceiling_s=now_s, next_s=now_s
+    )
+
+
+def on_read(
+    state: ShareState,
+    sent_s: float,
+    now_s: float,
+    value: ledger_lib.Ledger | None,
+    revision: int,
+) -> ShareState:
+    """Takes the result of a read.
+
+    Args:
+        state: State before.
+        sent_s: When the read was sent.
+        now_s: Time now.
+        value: The ledger, None if the store has none.
+        revision: Its revision, 0 if the store has none.
+    """
+    if revision < state.revision:
+        return state
+    value = value if value is not None else ledger_lib.Ledger()
+    if state.known is None or value.removal_epoch > state.known.removal_epoch:
+        state = dataclasses.replace(state, removal_known_s=math.inf)
+    entry = value.members.get(state.vm_id)
+    mine = entry is not None and entry.incarnation == state.incarnation
+    changes = {
+        "known": value,
+        "revision": revision,
+        "doubts": tuple(
+            doubt
+            for doubt in state.doubts
+            if doubt.expected_revision >= revision
+        ),
+        "stale_since_s": math.inf,
+    }
+    if mine:
+        if not state.joined:
+            # A join whose reply was lost took effect.
+            changes["joined"] = True
+        if sent_s >= state.started_s:
+            changes["read_s"] = max(state.read_s, sent_s)
+    elif state.joined:
+        changes.update(
+            joined=False,
+            superseded=entry is not None,
+            read_s=-math.inf,
+            ceiling=ledger_lib.TOTAL_UNITS,
+            held_epoch=0,
+            held_known_s=math.inf,
+        )
+    state = dataclasses.replace(state, **changes)
+    return _count_evidence(state, now_s)
+
+
+def on_written(
+    state: ShareState, sent_s: float, now_s: float, write: Write, revision: int
+) -> ShareState:
+    """Takes the confirmation of a write."""
+    return on_read(state, sent_s, now_s, write.ledger, revision)
+
+
+def on_failed(
+    state: ShareState, now_s: float, rnd: float, conflict: bool = False
+) -> ShareState:
+    """Takes the failure of a call; what is known may be out of date."""
+    wait_s = JITTER if conflict else RETRY_S
+    return dataclasses.replace(
+        state,
+        stale_since_s=min(state.stale_since_s, now_s),
+        next_s=now_s + wait_s * (0.5 + rnd),
+    )
+
+
+def on_tick(
+    state: ShareState, now_s: float, rnd: float
+) -> tuple[ShareState, Action | None]:
+    """Decides the next call to the store, at most one at a time.
+
+    Args:
+        state: State before.
+        now_s: Time now.
+        rnd: Random number in [0, 1) that spreads the VMs' calls.
+
+    Returns:
+        The state, in which the outcome of a returned write is in doubt until
+        the caller reports it, and the call to make.
+    """
+    if state.superseded or now_s < state.next_s:
+        return state, None
+    if _needs_read(state, now_s, rnd):
+        return dataclasses.replace(state, attempt_s=now_s), Read()
+    state, write = _plan(state, now_s)
+    if write is None and state.doubts:
+        # Only a newer revision settles a write in doubt: it may still be on
+        # its way to the store.
+        write = Write(
+            msgspec.structs.replace(state.known, epoch=state.known.epoch + 1),
+            state.revision,
+        )
+    if write is None:
+        return state, None
+    entry = write.ledger.members.get(state.vm_id)
+    doubt = Doubt(
+        state.revision,
+        entry.units if entry is not None else 0,
+        frozenset(entry.upstreams) if entry is not None else frozenset(),
+    )
+    return (
+        dataclasses.replace(
+            state,
+            doubts=(*state.doubts, doubt),
+            next_s=now_s + JITTER * (0.5 + rnd),
+        ),
+        write,
+    )
+
+
+def _needs_read(state: ShareState, now_s: float, rnd: float) -> bool:
+    if state.known is None or state.stale_since_s < math.inf:
+        return True
+    if state.contact_s + SETTLE_S <= now_s:
+        return False
+    last_s = max(state.read_s, state.attempt_s)
+    return now_s - last_s >= READ_EVERY_S * (1 - JITTER * rnd)
+
+
+def fair_units(value: ledger_lib.Ledger, others: frozenset[str]) -> int:
+    """Returns the fair share of one VM.
+
+    Args:
+        value: The ledger.
+        others: VMs that are live but may not have joined yet. Counting them
+            spares a fleet that starts at once most of its deposits.
+    """
+    return value.total_units // max(1, len(others | value.members.keys()))
+
+
+def _expected(state: ShareState) -> frozenset[str]:
+    if state.view is None:
+        return frozenset((state.vm_id,))
+    live = frozenset(state.view.live)
+    if state.view.listed is not None:
+        live &= state.view.listed
+    return live | {state.vm_id}
+
+
+def _gone(state: ShareState, now_s: float) -> tuple[str, ...]:
+    """Returns the members to remove from the ledger."""
+    view = state.view
+    if view is None or view.listed is None:
+        return ()
+    return tuple(
+        vm_id
+        for vm_id in state.known.members
+        if vm_id != state.vm_id
+        and vm_id not in view.listed
+        and vm_id not in view.live
+        and now_s - max(view.heard_s.get(vm_id, -math.inf), state.started_s)
+        >= GONE_UNHEARD_S
+    )
+
+
+def _plan(state: ShareState, now_s: float) -> tuple[ShareState, Write | None]:
+    known = state.known
+    entry = known.members.get(state.vm_id)
+    if entry is not None and entry.incarnation != state.incarnation:
+        if state.leaving:
+            return state, None
+        return _take_over(state, entry)
+    if state.leaving:
+        return state, _leave(state, now_s, entry)
+    if entry is None and state.held_epoch:
+        state = dataclasses.replace(state, held_epoch=0)
+    members = dict(known.members)
+    notes = []
+    free_units = known.free_units
+    gone = _gone(state, now_s)
+    for vm_id in gone:
+        free_units += members.pop(vm_id).units
+        notes.append(("ledger.removed", vm_id))
+    matured = not gone and (
+        known.removal_epoch == 0
+        or now_s >= state.removal_known_s + REMOVAL_WAIT_S
+    )
+    units = 0 if entry is None else entry.units
+    held = () if entry is None else entry.upstreams
+    fair = fair_units(
+        ledger_lib.Ledger(members=members, total_units=known.total_units),
+        _expected(state),
+    )
+    if units > fair and _deficits(members, fair, state) > free_units:
+        if state.ceiling > fair:
+            state = dataclasses.replace(state, ceiling=fair, ceiling_s=now_s)
+        elif now_s >= state.ceiling_s + DEPOSIT_WAIT_S:
+            free_units += units - state.ceiling
+            units = state.ceiling
+    else:
+        if state.ceiling < ledger_lib.TOTAL_UNITS:
+            state = dataclasses.replace(state, ceiling=ledger_lib.TOTAL_UNITS)
+        if units < fair and matured and free_units:
+            gain = min(fair - units, free_units)
+            units += gain
+            free_units -= gain
+    upstreams = _fair_upstreams(state, members, held, matured)
+    changed = ledger_entry.LedgerEntry(
+        state.incarnation, units, state.region, upstreams
+    )
+    if not gone and changed == entry:
+        return state, None
+    if entry is None:
+        notes.append(("ledger.joined", state.vm_id))
+    members[state.vm_id] = changed
+    new_epoch = known.epoch + 1
+    value = ledger_lib.Ledger(
+        new_epoch,
+        known.total_units,
+        free_units,
+        members,
+        new_epoch if gone else known.removal_epoch,
+    )
+    return state, Write(value, state.revision, tuple(notes))
+
+
+def _take_over(
+    state: ShareState, entry: ledger_entry.LedgerEntry
+) -> tuple[ShareState, Write]:
+    """Takes the predecessor's entry; it may still run for a while."""
+    new_epoch = state.known.epoch + 1
+    members = dict(state.known.members)
+    members[state.vm_id] = ledger_entry.LedgerEntry(
+        state.incarnation, entry.units, state.region, entry.upstreams
+    )
+    value = ledger_lib.Ledger(
+        new_epoch,
+        state.known.total_units,
+        state.known.free_units,
+        members,
+        new_epoch,
+    )
+    return (
+        dataclasses.replace(state, held_epoch=new_epoch, held_known_s=math.inf),
+        Write(value, state.revision, (("ledger.taken_over", state.vm_id),)),
+    )
+
+
+def _leave(
+    state: ShareState, now_s: float, entry: ledger_entry.LedgerEntry | None
+) -> Write | None:
+    if entry is None or now_s < state.ceiling_s + DEPOSIT_WAIT_S:
+        return None
+    members = dict(state.known.members)
+    del members[state.vm_id]
+    value = ledger_lib.Ledger(
+        state.known.epoch + 1,
+        state.known.total_units,
+        state.known.free_units + entry.units,
+        members,
+        state.known.removal_epoch,
+    )
+    return Write(value, state.revision, (("ledger.left", state.vm_id),))
+
+
+def _deficits(
+    members: dict[str, ledger_entry.LedgerEntry], fair: int, state: ShareState
+) -> int:
+    """Returns the units that members below the fair share lack."""
+    lacking = sum(max(0, fair - entry.units) for entry in members.values())
+    joining = _expected(state) - members.keys()
+    return lacking + fair * len(joining)
+
+
+def _fair_upstreams(
+    state: ShareState,
+    members: dict[str, ledger_entry.LedgerEntry],
+    held: tuple[str, ...],
+    matured: bool,
+) -> tuple[str, ...]:
+    """Returns the upstreams that the VM should own.
+
+    The VMs of a region share its upstreams; those of a region without a VM
+    are shared by all. A VM keeps what it owns where it can, because a new
+    owner has to wait for the requests of the former one.
+    """
+    regions = {
+        vm_id: entry.region
+        for vm_id, entry in members.items()
+        if vm_id != state.vm_id
+    }
+    regions[state.vm_id] = state.region
+    staffed = frozenset(regions.values())
+    owner = {
+        upstream: vm_id
+        for vm_id, entry in members.items()
+        if vm_id != state.vm_id
+        for upstream in entry.upstreams
+    }
+    own = dict.fromkeys(held, state.vm_id)
+    pools: dict[str, list[str]] = {}
+    for name, region in state.upstreams:
+        pools.setdefault(region if region in staffed else "", []).append(name)
+    wanted: list[str] = []
+    for region, names in pools.items():
+        if region and region != state.region:
+            continue
+        group = (
+            [vm_id for vm_id, where in regions.items() if where == region]
+            if region
+            else list(regions)
+        )
+        counts = dict.fromkeys(group, 0)
+        free = []
+        kept = []
+        for name in sorted(names):
+            holder = own.get(name) or owner.get(name)
+            if holder is None:
+                free.append(name)
+            elif holder in counts:
+                counts[holder] += 1
+                if holder == state.vm_id:
+                    kept.append(name)
+        floor, extra = divmod(len(names), len(group))
+        ranked = sorted(group, key=lambda vm_id: (-counts[vm_id], vm_id))
+        rank = ranked.index(state.vm_id)
+        target = floor + (1 if rank < extra else 0)
+        lacking = sum(max(0, floor - count) for count in counts.values())
+        if len(kept) > target and lacking > len(free):
+            kept = kept[:target]
+        elif len(kept) < target and matured:
+            kept += free[: target - len(kept)]
+        wanted += kept
+    return tuple(sorted(wanted))
--- /dev/null
+++ b/tests/support/limit_fleet.py
@@ -0,0 +1,198 @@
+"""A fleet of ledger and limit tasks on virtual time."""
+
+import asyncio
+import random
+
+from support import fake_store
+
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import ledger_task
+from bramleyworks.daemon import limit_task
+from bramleyworks.document import document
+from bramleyworks.document import organisation
+from bramleyworks.document import stored_config
+from bramleyworks.document import upstream
+from bramleyworks.messages import codec
+from bramleyworks.messages import heartbeat
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member
+
+REGIONS = ("a", "b", "c")
+
+
+class AuditNotes:
+    """Collects audit entries."""
+
+    def __init__(self):
+        self.notes = []
+
+    def note(self, kind, subject, cause):
+        self.notes.append((kind, subject, cause))
+
+
+class DelayLink:
+    """A peer link that delivers after the delay of the path."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.handlers = {}
+        self.sent = 0
+        self.sent_bytes = 0
+
+    def register(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, name, msg):
+        data = codec.encode(msg)
+        self.sent += 1
+        self.sent_bytes += len(data)
+        delay_s = self.fleet.delay_s(self.name, name)
+        self.fleet.loop.call_later(delay_s, self._deliver, name, data)
+        return True
+
+    def _deliver(self, name, data):
+        vm = self.fleet.vms.get(name)
+        pair = (self.name, name)
+        if vm is None or self.name not in self.fleet.vms:
+            return
+        if pair in self.fleet.cut:
+            return
+        msg = codec.decode(data, self.name).unwrap()
+        handler = vm.link.handlers.get(type(msg))
+        if handler:
+            handler(self.name, msg)
+
+
+class Vm:
+    """The two tasks of one VM."""
+
+    def __init__(self, fleet, name, region, incarnation):
+        self.me = identity.Identity(
+            name, incarnation, region, "1", f"{name}:80", f"{name}:90"
+        )
+        self.link = DelayLink(fleet, name)
+        self.audit = AuditNotes()
+        rng = random.Random(f"{name}/{incarnation}")
+        clock = fleet.loop.time
+        self.ledger = ledger_task.LedgerTask(
+            self.me, fleet.store, self.audit, clock, rng.random
+        )
+        self.limits = limit_task.LimitTask(
+            self.me, self.link, self.ledger, clock, rng
+        )
+        self.heard_s = {}
+        self.tasks = [
+            fleet.loop.create_task(self.ledger.run()),
+            fleet.loop.create_task(self.limits.run()),
+        ]
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+class Fleet:
+    """Runs VMs with heartbeats once a second.
+
+    Attributes:
+        listed: Names on the platform's list.
+        cut: Pairs of sender and receiver whose messages are lost.
+    """
+
+    def __init__(self, loop, stored):
+        self.loop = loop
+        self.store = fake_store.FakeStore(loop.time)
+        self.stored = stored
+        self.vms = {}
+        self.listed = set()
+        self.cut = set()
+        self.beats = loop.create_task(self._beat())
+
+    def delay_s(self, source, target):
+        near = self.vms[source].me.region == self.vms[target].me.region
+        return 0.001 if near else 0.035
+
+    def start(self, name, region, incarnation="1"):
+        self.listed.add(name)
+        vm = Vm(self, name, region, incarnation)
+        self.vms[name] = vm
+        vm.ledger.on_config(self.stored)
+        vm.limits.on_config(self.stored)
+        return vm
+
+    def kill(self, name):
+        self.vms.pop(name).stop()
+
+    def stop(self):
+        self.beats.cancel()
+        for name in list(self.vms):
+            self.kill(name)
+
+    def beat_of(self, vm):
+        me = vm.me
+        return heartbeat.Heartbeat(
+            vm_id=me.vm_id,
+            incarnation=me.incarnation,
+            sequence=1,
+            region=me.region,
+            failure_domain="1",
+            http=me.http,
+            peer=me.peer,
+            config_version=1,
+            fresh_age_s=0.0,
+            draining=False,
+            ledger_epoch=vm.ledger.epoch(),
+            free_slots={},
+        )
+
+    async def _beat(self):
+        while True:
+            now_s = self.loop.time()
+            beats = {name: self.beat_of(vm) for name, vm in self.vms.items()}
+            for name, vm in self.vms.items():
+                live = {}
+                for peer, beat in beats.items():
+                    if peer != name and (peer, name) not in self.cut:
+                        vm.heard_s[peer] = now_s
+                        live[peer] = member.Member(beat, now_s)
+                view = fleet_view.FleetView(
+                    name,
+                    live,
+                    frozenset(self.listed),
+                    heard_s=dict(vm.heard_s),
+                )
+                vm.ledger.on_fleet(view)
+                vm.limits.on_fleet(view)
+            await asyncio.sleep(1.0)
+
+    def units(self):
+        return {name: vm.ledger.units() for name, vm in self.vms.items()}
+
+
+def config(organisations, upstreams=0):
+    """Returns a configuration; organisations are name: (rate, burst)."""
+    return stored_config.StoredConfig(
+        1,
+        "apply",
+        "test",
+        0.0,
+        document.Document(
+            organisations=tuple(
+                organisation.Organisation(name, rate, burst)
+                for name, (rate, burst) in organisations.items()
+            ),
+            upstreams=tuple(
+                upstream.Upstream(
+                    f"up{index:02}",
+                    "desk",
+                    "1",
+                    REGIONS[index % len(REGIONS)],
+                    "1",
+                    f"http://10.0.0.{index}:80",
+                    5,
+                )
+                for index in range(upstreams)
+            ),
+        ),
+    )
