--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -85,9 +85,7 @@
         self._members = member_task.MemberTask(
             me, self._link, self._listing, self._table, self, self._cfg.seeds
         )
-        self._ledger = ledger_task.LedgerTask(
-            me, self._link, self._kv, self._audit
-        )
+        self._ledger = ledger_task.LedgerTask(me, self._kv, self._audit)
         self._limits = limit_task.LimitTask(me, self._link, self._ledger)
         self._slots = slot_task.SlotTask(
             me, self._link, self._ledger, self._limits
@@ -205,7 +203,6 @@
         self._members.beat_now()
         self._front.drain()
         self._desk.close_unused()
-        self._ledger.start_leaving()
         while time.monotonic() - started_s < self._cfg.drain_s:
             if self._server.should_exit:
                 break
--- a/src/bramleyworks/daemon/front.py
+++ b/src/bramleyworks/daemon/front.py
@@ -140,7 +140,7 @@
         limit = f"org:{name}"
         if self._limits.try_take(limit, 1.0):
             return None
-        if await self._limits.take(limit, 1.0, item.deadline_s):
+        if await self._limits.wait(limit, 1.0, item.deadline_s):
             return None
         return refusal.Refusal(
             429,
