Add a benchmark of the daemon against the bare forwarder

Cause: the speed targets need a figure in one run. Change: tools/bench_forward.py with alternating runs of the load tool.

--- /dev/null
+++ b/tools/bench_forward.py
@@ -0,0 +1,271 @@
+"""Compares a daemon with the bare forwarder, on loopback, in one run."""
+
+import asyncio
+import hashlib
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import aiohttp
+import click
+
+from bramleyworks.document import codec
+from bramleyworks.document import document
+from bramleyworks.document import key
+from bramleyworks.document import organisation
+from bramleyworks.document import region
+from bramleyworks.document import route
+from bramleyworks.document import service
+from bramleyworks.document import stored_config
+from bramleyworks.document import upstream
+from bramleyworks.platform import store_http
+
+KEY = "benchmark-key"
+PORTS = {
+    "store": 18000,
+    "list": 18001,
+    "upstream": 18002,
+    "naive": 18003,
+    "http": 18004,
+    "peer": 18005,
+}
+WARM_UP_REQUESTS = 500
+READY_S = 20.0
+MIB = 1024 * 1024
+
+
+def _document() -> document.Document:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    return document.Document(
+        regions=(region.Region("sudo", ("d1",)),),
+        organisations=(
+            organisation.Organisation(
+                "bench", 1e6, 1e6, keys=(key.Key("k1", digest),)
+            ),
+        ),
+        services=(service.Service("store-desk", "v1", warmup_s=0.0),),
+        routes=(route.Route("/", "store-desk"),),
+        upstreams=(
+            upstream.Upstream(
+                "u1",
+                "store-desk",
+                "v1",
+                "sudo",
+                "d1",
+                f"http://127.0.0.1:{PORTS['upstream']}",
+                64,
+            ),
+        ),
+    )
+
+
+def _settings() -> str:
+    return f"""
+[vm]
+id = vm1
+region = sudo
+failure_domain = d1
+[listen]
+http = 127.0.0.1:{PORTS["http"]}
+peer = 127.0.0.1:{PORTS["peer"]}
+[store]
+url = http://127.0.0.1:{PORTS["store"]}
+[vm_list]
+url = http://127.0.0.1:{PORTS["list"]}
+"""
+
+
+class Bench:
+    """Owns the processes of one comparison."""
+
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
+        self._children: list[subprocess.Popen] = []
+        self.daemon: subprocess.Popen | None = None
+
+    def start(self, *args: str) -> subprocess.Popen:
+        """Starts a module of this repository as a process."""
+        child = subprocess.Popen(
+            [sys.executable, "-m", *args],
+            env={**os.environ, "PYTHONPATH": "src"},
+        )
+        self._children.append(child)
+        return child
+
+    def close(self) -> None:
+        """Ends all processes that were started."""
+        for child in self._children:
+            child.terminate()
+        for child in self._children:
+            try:
+                child.wait(15)
+            except subprocess.TimeoutExpired:
+                child.kill()
+
+    async def set_up(self) -> None:
+        """Starts everything and waits until requests are served."""
+        self.start("bramleyworks_standins.store", "--port", _port("store"))
+        self.start("bramleyworks_standins.vm_list", "--port", _port("list"))
+        self.start(
+            "bramleyworks_lab.bare_upstream", "--port", _port("upstream")
+        )
+        self.start(
+            "bramleyworks_lab.naive_forwarder",
+            "--port",
+            _port("naive"),
+            "--upstream",
+            f"http://127.0.0.1:{PORTS['upstream']}",
+        )
+        stored = stored_config.StoredConfig(
+            1, "bench", "bench", time.time(), _document()
+        )
+        url = f"http://127.0.0.1:{PORTS['store']}"
+        async with store_http.HttpStore(url) as kv:
+            await _until(lambda: kv.get(stored_config.CONFIG_KEY))
+            await kv.put(
+                stored_config.CONFIG_KEY, codec.encode_stored(stored), 0
+            )
+        path = self._folder / "vm1.ini"
+        path.write_text(_settings())
+        self.daemon = self.start("bramleyworks.daemon", "--config", str(path))
+        async with aiohttp.ClientSession() as session:
+            vms = [
+                {
+                    "id": "vm1",
+                    "region": "sudo",
+                    "failure_domain": "d1",
+                    "http": f"127.0.0.1:{PORTS['http']}",
+                    "peer": f"127.0.0.1:{PORTS['peer']}",
+                    "state": "live",
+                }
+            ]
+            base = f"http://127.0.0.1:{PORTS['list']}/vms"
+            await (await session.post(base, json={"vms": vms})).read()
+            for name in ("naive", "http"):
+                await _until(lambda name=name: _served(session, name))
+
+
+async def _served(session: aiohttp.ClientSession, name: str) -> bool:
+    async with session.get(
+        f"http://127.0.0.1:{PORTS[name]}/stock",
+        headers={"Authorization": f"Bearer {KEY}"},
+    ) as answer:
+        await answer.read()
+        if answer.status != 200:
+            raise ConnectionError(f"status {answer.status}")
+        return True
+
+
+async def _until(call) -> None:
+    started_s = time.monotonic()
+    while True:
+        try:
+            await call()
+            return
+        except Exception:  # noqa: BLE001 - any failure means not ready yet
+            if time.monotonic() - started_s > READY_S:
+                raise
+            await asyncio.sleep(0.1)
+
+
+def _port(name: str) -> str:
+    return str(PORTS[name])
+
+
+def load(name: str, connections: int, requests: int) -> dict[str, float]:
+    """Runs the load tool as a process of its own."""
+    printed = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bramleyworks_lab.http_load",
+            "--port",
+            _port(name),
+            "--path",
+            "/v1/entry?client=127.0.0.1" if name == "entry" else "/stock",
+            "--connections",
+            str(connections),
+            "--requests",
+            str(requests),
+            "--key",
+            KEY,
+        ],
+        env={**os.environ, "PYTHONPATH": "src"},
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+    pairs = (item.split("=") for item in printed.split())
+    return {name: float(value) for name, value in pairs}
+
+
+def _rss_bytes(pid: int) -> int:
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(x for x in text.splitlines() if x.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
+async def _stream(size: int) -> None:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(
+            f"http://127.0.0.1:{PORTS['http']}/documents/{size}",
+            headers={"Authorization": f"Bearer {KEY}"},
+        ) as answer:
+            got = 0
+            async for chunk in answer.content.iter_any():
+                got += len(chunk)
+    if got != size:
+        raise RuntimeError(f"got {got} of {size} bytes")
+
+
+def compare(connections: int, requests: int, rounds: int) -> None:
+    """Prints one row: rates and medians of both, and their ratio."""
+    rows: dict[str, list[dict[str, float]]] = {"naive": [], "http": []}
+    for number in range(rounds):
+        order = ("naive", "http") if number % 2 else ("http", "naive")
+        for name in order:
+            rows[name].append(load(name, connections, requests))
+    rate = {
+        name: statistics.median(row["rate_per_s"] for row in found)
+        for name, found in rows.items()
+    }
+    p50 = {
+        name: statistics.median(row["p50_us"] for row in found)
+        for name, found in rows.items()
+    }
+    click.echo(
+        f"forward connections={connections:2d}"
+        f" naive={rate['naive']:.0f}/s daemon={rate['http']:.0f}/s"
+        f" ratio={rate['http'] / rate['naive']:.2f}"
+        f" naive_p50={p50['naive']:.0f}us daemon_p50={p50['http']:.0f}us"
+        f" added={(p50['http'] - p50['naive']) / 1000:.3f}ms"
+    )
+
+
+@click.command()
+@click.option("--requests", default=4000, help="Requests of each run.")
+@click.option("--rounds", default=5, help="Runs of each, alternating.")
+def main(requests: int, rounds: int) -> None:
+    """Prints throughput, latency and memory growth."""
+    with tempfile.TemporaryDirectory() as folder:
+        bench = Bench(pathlib.Path(folder))
+        try:
+            asyncio.run(bench.set_up())
+            for name in ("naive", "http"):
+                load(name, 4, WARM_UP_REQUESTS)
+            compare(1, requests, rounds)
+            compare(16, requests, rounds)
+            before = _rss_bytes(bench.daemon.pid)
+            asyncio.run(_stream(50 * MIB))
+            grown = _rss_bytes(bench.daemon.pid) - before
+            click.echo(f"stream 50 MiB: peak memory grew {grown / MIB:.1f} MiB")
+        finally:
+            bench.close()
+
+
+if __name__ == "__main__":
+    main()
