Test tickets, version moves and the audit trail

Change: hypothesis tests against naive rules and fleets with failures; bramleyworks_lab/move_model.py simulates moves with seeds.

--- a/src/bramleyworks/daemon/audit_task.py
+++ b/src/bramleyworks/daemon/audit_task.py
@@ -58,8 +58,10 @@
         store: store_module.Store,
         wall: Callable[[], float] = time.time,
         rng: random.Random | None = None,
+        segment_bytes: int = audit_ring.SEGMENT_BYTES,
     ):
         self._me = me
+        self._segment_bytes = segment_bytes
         self._store = store
         self._wall = wall
         self._rng = rng or random.Random()
@@ -140,7 +142,7 @@
         if lost:
             report = self._entry("audit.lost", self._me.vm_id, f"{lost}")
             entries = (report, *entries)
-        grown, taken = audit_ring.append(segment, entries)
+        grown, taken = audit_ring.append(segment, entries, self._segment_bytes)
         if not taken:
             await self._advance(number, head.revision if head else 0)
             return True
--- /dev/null
+++ b/src/bramleyworks_lab/move_model.py
@@ -0,0 +1,344 @@
+"""Seeded simulation of version moves with good and bad versions.
+
+Run ``python -m bramleyworks_lab.move_model --seeds N`` for a table.
+"""
+
+import dataclasses
+import math
+import random
+
+import click
+
+from bramleyworks.document import move as move_module
+from bramleyworks.policy import canary_stats
+from bramleyworks.policy import move
+from bramleyworks.policy import move_record
+from bramleyworks.policy import sample
+
+TICK_S = 0.25
+BEAT_S = 1.0
+DRIVE_S = 2.0
+# Longest time from a cut to the first tick at which another VM obeys it.
+CUT_DELAY_S = 0.25
+LOST_CUT = 0.1
+OLD, NEW = "1", "2"
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """One kind of new version and the traffic around it.
+
+    Attributes:
+        name: Name in the table.
+        is_good: Whether the move should finish.
+        old_rate: Failure rate of both versions without a fault.
+        fault_rate: Failure rate of the new version with its fault.
+        slower: Factor on the new version's latency with its fault.
+        fault_at: Part of the move's time at which the fault appears.
+        busy_only: Whether the fault shows only on busy upstreams.
+        one_route: Whether the fault shows on the third route only.
+        incident_rate: Failure rate of both versions in an incident of 20 s
+            at 60% of the time.
+        crash: Whether one upstream of the new version fails its 5 running
+            requests at 30% of the time.
+        sigma: Spread of the log-normal latency.
+    """
+
+    name: str
+    is_good: bool
+    old_rate: float = 0.001
+    fault_rate: float = 0.0
+    slower: float = 1.0
+    fault_at: float = 0.0
+    busy_only: bool = False
+    one_route: bool = False
+    incident_rate: float = 0.0
+    crash: bool = False
+    sigma: float = 0.5
+
+
+SCENARIOS = (
+    Scenario("good, old 0.1%", True),
+    Scenario("good, old 1%", True, old_rate=0.01),
+    Scenario("good, wide latency", True, sigma=1.0),
+    Scenario("good, incident in both", True, incident_rate=0.05),
+    Scenario("good, one upstream dies", True, crash=True),
+    Scenario("50% at once", False, fault_rate=0.5),
+    Scenario("5% at once", False, fault_rate=0.05),
+    Scenario("5% at once, old 1%", False, old_rate=0.01, fault_rate=0.05),
+    Scenario("twice as slow", False, slower=2.0),
+    Scenario("twice as slow, wide", False, slower=2.0, sigma=1.0),
+    Scenario("50% from 40% of time", False, fault_rate=0.5, fault_at=0.4),
+    Scenario("5% from 40% of time", False, fault_rate=0.05, fault_at=0.4),
+    Scenario("50% from 70% of time", False, fault_rate=0.5, fault_at=0.7),
+    Scenario("50% under load", False, fault_rate=0.5, busy_only=True),
+    Scenario("5% under load", False, fault_rate=0.05, busy_only=True),
+    Scenario("slow under load", False, slower=2.0, busy_only=True),
+    Scenario("50% on one route", False, fault_rate=0.5, one_route=True),
+    Scenario("5% on one route", False, fault_rate=0.05, one_route=True),
+    Scenario("slow on one route", False, slower=2.0, one_route=True),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Size of the simulated traffic.
+
+    Attributes:
+        vms: VMs that choose and count.
+        watchers: VMs that look at the sum over all; the others only send
+            counts, to save time.
+        rate_per_s: Requests per second over all routes and VMs.
+        weights: Part of each route in the requests.
+        length_s: Time from start to deadline.
+    """
+
+    vms: int = 10
+    watchers: int = 3
+    rate_per_s: float = 400.0
+    weights: tuple[float, ...] = (0.5, 0.3, 0.15, 0.05)
+    length_s: float = 600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What happened in one run.
+
+    Attributes:
+        verdict: ``"done"`` or ``"undone"``.
+        reason: Reason of the verdict.
+        cut_after_s: Time from the fault to the cut, infinite without one.
+        share: Largest part of a route's requests that the new version got
+            from the start to the cut.
+        share_before_fault: The same up to the moment of the fault.
+        late_requests: Requests to the new version later than 2 s after the
+            cut.
+        bad_requests: Requests that met the fault before the cut.
+    """
+
+    verdict: str
+    reason: str
+    cut_after_s: float
+    share: float
+    share_before_fault: float
+    late_requests: int
+    bad_requests: int
+
+
+class _Run:
+    """One run of the simulation; mutable because it counts requests."""
+
+    def __init__(self, scenario: Scenario, size: Size, seed: int):
+        self._scenario = scenario
+        self._size = size
+        self._rng = random.Random(seed)
+        self._plan = move_module.Move(
+            id="m",
+            service="s",
+            from_version=OLD,
+            to_version=NEW,
+            start_s=0.0,
+            deadline_s=size.length_s,
+        )
+        self._routes = tuple(f"/r{i}" for i in range(len(size.weights)))
+        self._cumulative = tuple(
+            sum(size.weights[: i + 1]) for i in range(len(size.weights))
+        )
+        self._evidence = [
+            canary_stats.MoveEvidence(self._plan, self._routes)
+            for _ in range(size.vms)
+        ]
+        self._counters = [
+            dict.fromkeys(self._routes, 0) for _ in range(size.vms)
+        ]
+        self._total = dict.fromkeys(self._routes, 0)
+        self._new = dict.fromkeys(self._routes, 0)
+        self._before = 0.0
+        self._bad = 0
+        self._late = 0
+        self._crash_left = 5 if scenario.crash else 0
+        self._cut: tuple[float, str] | None = None
+        self._heard = [math.inf] * size.vms
+        self._record: move_record.MoveRecord | None = None
+
+    def run(self) -> Outcome:
+        fault_s = self._scenario.fault_at * self._size.length_s
+        next_s = 0.0
+        now_s = 0.0
+        share = None
+        while now_s < self._size.length_s:
+            if now_s % DRIVE_S == 0:
+                self._record = (
+                    move.next_record(
+                        self._plan,
+                        self._record,
+                        self._cut[1] if self._cut else None,
+                        1,
+                        now_s,
+                    )
+                    or self._record
+                )
+            if self._record.verdict != "running" and (
+                self._cut is None or now_s > self._cut[0] + 10
+            ):
+                break
+            if now_s <= fault_s:
+                self._before = self._largest_share()
+            now_s += TICK_S
+            while next_s < now_s:
+                self._request(next_s, fault_s)
+                next_s += self._rng.expovariate(self._size.rate_per_s)
+            self._look(now_s)
+            if self._cut and share is None:
+                share = self._largest_share()
+        cut_s = self._cut[0] if self._cut else math.inf
+        verdict = self._record.verdict
+        return Outcome(
+            verdict="undone" if verdict == "running" else verdict,
+            reason=self._record.reason,
+            cut_after_s=cut_s - fault_s,
+            share=self._largest_share() if share is None else share,
+            share_before_fault=self._before,
+            late_requests=self._late,
+            bad_requests=self._bad,
+        )
+
+    def _largest_share(self) -> float:
+        return max(
+            self._new[route] / max(self._total[route], 1)
+            for route in self._routes
+        )
+
+    def _request(self, at_s: float, fault_s: float) -> None:
+        rng = self._rng
+        scenario = self._scenario
+        vm = rng.randrange(self._size.vms)
+        draw = rng.random()
+        number = 0
+        while draw >= self._cumulative[number] and number < 3:
+            number += 1
+        route = self._routes[number]
+        self._total[route] += 1
+        is_new = False
+        if at_s < self._heard[vm]:
+            counters = self._counters[vm]
+            count = counters[route] + move.share_ppm(
+                self._plan, self._record, False, at_s
+            )
+            is_new = count >= move.ALL_PPM
+            counters[route] = count - move.ALL_PPM if is_new else count
+        # The new version's few upstreams run at full load.
+        busy = rng.random() < (0.8 if is_new else 0.3)
+        rate = scenario.old_rate
+        part = at_s / self._size.length_s
+        if scenario.incident_rate and 0 < at_s - 0.6 * self._size.length_s < 20:
+            rate = scenario.incident_rate
+        latency_s = 0.06 * math.exp(rng.gauss(0.0, scenario.sigma))
+        if busy:
+            latency_s *= 1.3
+        if is_new:
+            self._new[route] += 1
+            if self._cut and at_s > self._cut[0] + 2.0:
+                self._late += 1
+            if self._crash_left and part > 0.3:
+                self._crash_left -= 1
+                rate = 1.0
+            elif (
+                not scenario.is_good
+                and at_s >= fault_s
+                and (busy or not scenario.busy_only)
+                and (number == 2 or not scenario.one_route)
+            ):
+                self._bad += self._cut is None
+                rate = max(rate, scenario.fault_rate)
+                latency_s *= scenario.slower
+        self._evidence[vm].observe(
+            sample.Sample(
+                route,
+                NEW if is_new else OLD,
+                rng.random() < rate,
+                latency_s,
+                busy,
+            )
+        )
+
+    def _look(self, now_s: float) -> None:
+        if self._cut is not None:
+            return
+        sources = [(f"v{vm}", "i") for vm in range(self._size.vms)]
+        for vm in range(self._size.vms):
+            if vm >= self._size.watchers:
+                # Sets the thresholds of this VM's own counts.
+                if now_s % BEAT_S == 0:
+                    self._evidence[vm].check(sources[vm], now_s)
+                continue
+            reason = self._evidence[vm].check(sources[vm], now_s)
+            if now_s % BEAT_S == 0:
+                for other in range(self._size.vms):
+                    if other != vm:
+                        self._evidence[vm].merge(
+                            sources[other],
+                            self._evidence[other].totals(),
+                            now_s,
+                        )
+            if reason is not None:
+                self._cut = (now_s, reason)
+                self._heard = [
+                    now_s
+                    + (
+                        # The next heartbeat repairs a lost message.
+                        BEAT_S + CUT_DELAY_S
+                        if self._rng.random() < LOST_CUT
+                        else CUT_DELAY_S
+                    )
+                    for _ in range(self._size.vms)
+                ]
+                self._heard[vm] = now_s
+                return
+
+
+def simulate(scenario: Scenario, size: Size, seed: int) -> Outcome:
+    """Runs one move with Poisson arrivals and log-normal latencies."""
+    return _Run(scenario, size, seed).run()
+
+
+def _row(scenario: Scenario, outcomes: list[Outcome]) -> str:
+    done = sum(item.verdict == "done" for item in outcomes)
+    delays = sorted(item.cut_after_s for item in outcomes)
+    early = sum(item.cut_after_s < 0 for item in outcomes)
+    cuts = [item for item in delays if math.isfinite(item)]
+    middle = cuts[len(cuts) // 2] if cuts else math.inf
+    return (
+        f"{scenario.name:26} done {done:3}/{len(outcomes)}"
+        f"  cut {len(cuts):3} (before fault {early})"
+        f"  median {middle:6.1f} s  max {delays[-1]:6.1f} s"
+        f"  share before fault"
+        f" {max(item.share_before_fault for item in outcomes):6.2%}"
+        f"  share to cut {max(item.share for item in outcomes):6.2%}"
+        f"  bad requests {max(item.bad_requests for item in outcomes):5}"
+        f"  later than 2 s {sum(item.late_requests for item in outcomes)}"
+    )
+
+
+@click.command()
+@click.option("--seeds", default=20, help="Runs of each scenario.")
+@click.option("--first-seed", default=0, help="Seed of the first run.")
+@click.option("--rate", default=400.0, help="Requests per second.")
+@click.option("--length", default=600.0, help="Time to the deadline, s.")
+@click.option("--only", default="", help="Part of the scenarios' names.")
+def main(
+    seeds: int, first_seed: int, rate: float, length: float, only: str
+) -> None:
+    """Prints one line for each scenario."""
+    size = Size(rate_per_s=rate, length_s=length)
+    for scenario in SCENARIOS:
+        if only in scenario.name:
+            outcomes = [
+                simulate(scenario, size, first_seed + index)
+                for index in range(seeds)
+            ]
+            click.echo(_row(scenario, outcomes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/daemon/test_audit_task.py
@@ -0,0 +1,158 @@
+"""Guards against audit entries that are lost or written twice."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+from support import fake_store
+from support import virtual_clock
+
+from bramleyworks import errors
+from bramleyworks.daemon import audit_task
+from bramleyworks.daemon import identity
+from bramleyworks.platform import audit_log
+from bramleyworks.policy import audit_ring
+
+DRAW = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=120, database=None
+)
+
+
+class LateStore(fake_store.FakeStore):
+    """A store whose lost writes may also take effect later, or never.
+
+    Attributes:
+        delay_puts: Number of coming writes that are held back.
+        held: Arguments of the writes held back.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.delay_puts = 0
+        self.held = []
+
+    async def put(self, key, value, expected_revision):
+        # Gives other writers a turn between a read and the write after it.
+        await asyncio.sleep(0)
+        if self.delay_puts:
+            self.delay_puts -= 1
+            self.held.append((key, value, expected_revision))
+            raise errors.StoreUnknownError("store.put", "fake", "timeout")
+        return await super().put(key, value, expected_revision)
+
+    async def release(self):
+        for args in self.held:
+            try:
+                await super().put(*args)
+            except errors.StoreError:
+                pass
+        self.held = []
+
+
+def make(store, name="a", limit=audit_ring.SEGMENT_BYTES):
+    me = identity.Identity(name, "i1", "r", "f", "h", "p")
+    return audit_task.AuditTask(
+        me, store, wall=lambda: 1.0, segment_bytes=limit
+    )
+
+
+async def everything(store):
+    return [entry.subject for entry in await audit_log.read_all(store)]
+
+
+async def raw_ids(store):
+    ids = []
+    for index in range(audit_ring.SEGMENTS):
+        entry = await store.get(audit_ring.key_of(index))
+        if entry:
+            segment = audit_ring.decode(entry.value)
+            ids += [item.id for item in segment.entries]
+    return ids
+
+
+@DRAW
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                ["note", "flush", "both", "lose", "delay", "release", "down"]
+            ),
+            strategies.integers(0, 1),
+        ),
+        max_size=40,
+    ),
+    strategies.sampled_from([900, 64 * 1024]),
+)
+def test_two_writers_write_each_entry_exactly_once(actions, limit):
+    """Lost replies, late writes and conflicts neither repeat nor lose."""
+
+    async def play():
+        store = LateStore(virtual_clock.VirtualClock())
+        writers = [make(store, name, limit) for name in "ab"]
+        noted = []
+        for kind, pick in actions:
+            if kind == "note":
+                for _ in range(3):
+                    noted.append(f"{len(noted)}")
+                    writers[pick].note("test", noted[-1], "c" * 50)
+            elif kind == "flush":
+                await writers[pick].flush()
+            elif kind == "both":
+                await asyncio.gather(*(item.flush() for item in writers))
+            elif kind == "lose":
+                store.lose_replies += 1
+            elif kind == "delay":
+                store.delay_puts += 1
+            elif kind == "release":
+                await store.release()
+            elif kind == "down":
+                store.down = not store.down
+        store.down, store.lose_replies, store.delay_puts = False, 0, 0
+        for writer in writers:
+            assert await writer.flush()
+        await store.release()
+        ids = await raw_ids(store)
+        assert len(ids) == len(set(ids))
+        assert sorted(await everything(store)) == sorted(noted)
+
+    asyncio.run(play())
+
+
+async def test_an_outage_keeps_the_newest_and_reports_the_lost():
+    """Silent loss would make the trail look complete."""
+    store = fake_store.FakeStore(virtual_clock.VirtualClock())
+    task = make(store)
+    store.down = True
+    for index in range(1500):
+        task.note("test", f"{index}", "-")
+    assert not await task.flush()
+    store.down, store.lose_replies = False, 3
+    while not await task.flush():
+        pass
+    entries = await audit_log.read_all(store)
+    lost = [item.cause for item in entries if item.kind == "audit.lost"]
+    kept = [item.subject for item in entries if item.kind == "test"]
+    assert lost == ["500"]
+    assert kept == [f"{index}" for index in range(500, 1500)]
+
+
+async def test_the_ring_stays_within_its_size():
+    """The trail must not fill the store, and loses its oldest part first."""
+    store = fake_store.FakeStore(virtual_clock.VirtualClock())
+    task = make(store)
+    text = "\x01" * audit_ring.MAX_TEXT_CHARS
+    total = 0
+    while total < 2500:
+        for _ in range(100):
+            total += 1
+            task.note(text, f"{total}", text)
+        while not await task.flush():
+            pass
+    for key, entry in store._entries.items():
+        assert len(entry.value) <= audit_ring.SEGMENT_BYTES, key
+    subjects = await everything(store)
+    assert subjects[-1] == f"{total}"
+    assert len(subjects) < total
+    assert subjects == [
+        f"{index}" for index in range(total - len(subjects) + 1, total + 1)
+    ]
--- /dev/null
+++ b/tests/daemon/test_move_task.py
@@ -0,0 +1,432 @@
+"""Guards against a bad version that keeps or regains traffic."""
+
+import asyncio
+import contextlib
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from support import fake_link
+from support import fake_store
+from support import virtual_clock
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import move_task
+from bramleyworks.document import document
+from bramleyworks.document import move as move_module
+from bramleyworks.document import route
+from bramleyworks.document import service
+from bramleyworks.document import stored_config
+from bramleyworks.messages import heartbeat
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member
+from bramleyworks.policy import move
+from bramleyworks.policy import move_record
+from bramleyworks.policy import sample
+
+START_S, DEADLINE_S = 1000.0, 1200.0
+PLAN = move_module.Move("m", "s", "1", "2", START_S, DEADLINE_S)
+CONFIG = stored_config.StoredConfig(
+    1,
+    "x",
+    "x",
+    0.0,
+    document.Document(
+        services=(service.Service(name="s", version="1"),),
+        routes=(route.Route(prefix="/x", service="s"),),
+        moves=(PLAN,),
+    ),
+)
+DRAW = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=120, database=None
+)
+
+
+class Gate:
+    """One daemon's way to the store; it can be paused before a call."""
+
+    def __init__(self, store):
+        self._store = store
+        self.paused_at = None
+        self.opened = asyncio.Event()
+        self.token = 0
+
+    async def _pass(self, step):
+        if self.paused_at == step:
+            await self.opened.wait()
+
+    async def get(self, key):
+        await self._pass("get")
+        return await self._store.get(key)
+
+    async def put(self, key, value, expected_revision):
+        await self._pass("put")
+        before = await self._store.get(key)
+        revision = before.revision if before else 0
+        try:
+            return await self._store.put(key, value, expected_revision)
+        finally:
+            if revision == expected_revision and not self._store.down:
+                self._store.history.append((self.token, value))
+
+    async def watch(self, key, after_revision, wait_s):
+        return await self._store.watch(key, after_revision, wait_s)
+
+    async def acquire_lease(self, name, holder, ttl_s):
+        lease = await self._store.acquire_lease(name, holder, ttl_s)
+        if lease is not None:
+            self.token = lease.token
+        return lease
+
+
+class Notes:
+    def __init__(self):
+        self.kinds = []
+
+    def note(self, kind, subject, cause):
+        self.kinds.append(kind)
+
+
+class Fleet:
+    """Daemons of one region on a lossy link and one store."""
+
+    def __init__(self, names="abc"):
+        self.clock = virtual_clock.VirtualClock(START_S)
+        self.network = fake_link.FakeNetwork()
+        self.store = fake_store.FakeStore(self.clock)
+        self.store.history = []
+        self.names = names
+        self.gates = {name: Gate(self.store) for name in names}
+        self.notes = {name: Notes() for name in names}
+        self.tasks = {
+            name: move_task.MoveTask(
+                identity.Identity(name, "i", "r", "f", "h", "p"),
+                self.network.link(name),
+                self.gates[name],
+                self.notes[name],
+                self.clock,
+                self.clock,
+                random.Random(1),
+            )
+            for name in names
+        }
+        self.cut = set()
+        self.held = {}
+        for task in self.tasks.values():
+            task.on_config(CONFIG)
+            # All compete for the lease, whatever their rank.
+            task._is_driver = lambda: True
+            self.beats()
+
+    def beats(self, lost=()):
+        """Exchanges heartbeats, except those of the VMs given."""
+        views = {}
+        for name in self.names:
+            task = self.tasks[name]
+            views[name] = member.Member(
+                heartbeat.Heartbeat(
+                    vm_id=name,
+                    incarnation="i",
+                    sequence=1,
+                    region="r",
+                    failure_domain="f",
+                    http="h",
+                    peer="p",
+                    config_version=1,
+                    fresh_age_s=0.0,
+                    draining=False,
+                    ledger_epoch=1,
+                    free_slots={},
+                    counts=task.heartbeat_counts(),
+                    cuts=task.cuts(),
+                ),
+                self.clock(),
+            )
+        for name, task in self.tasks.items():
+            live = {
+                other: item
+                for other, item in views.items()
+                if other != name and other not in lost
+            }
+            task.on_fleet(fleet_view.FleetView(name, live))
+
+    def advance(self, seconds):
+        """Moves the clock and ticks as the tasks would."""
+        while seconds > 0:
+            self.clock.advance(min(seconds, 1.0))
+            seconds -= 1.0
+            for task in self.tasks.values():
+                task.tick()
+
+    def show_fault(self, name):
+        task = self.tasks[name]
+        for _ in range(400):
+            task.observe(sample.Sample("/x", "1", False, 0.05, False))
+        task.tick()
+        for _ in range(60):
+            task.observe(sample.Sample("/x", "2", True, 0.05, False))
+        task.tick()
+
+    async def drive(self, name):
+        with contextlib.suppress(errors.StoreError):
+            await self.tasks[name].drive()
+
+    async def hold(self, name, step):
+        """Pauses a daemon in the middle of its turn as a driver."""
+        if name in self.held:
+            return
+        self.gates[name].paused_at = step
+        self.held[name] = asyncio.ensure_future(self.drive(name))
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def wake(self, name):
+        if name in self.held:
+            self.gates[name].paused_at = None
+            self.gates[name].opened.set()
+            await self.held.pop(name)
+            self.gates[name].opened.clear()
+
+    def share(self, name):
+        return self.tasks[name].status()[0].share_ppm
+
+    async def records(self):
+        entry = await self.store.get(move_task.MOVES_KEY)
+        return move_record.decode_all(entry.value) if entry else {}
+
+    def check(self):
+        for name, task in self.tasks.items():
+            status = task.status()[0]
+            if status.is_cut:
+                self.cut.add(name)
+            if name in self.cut:
+                assert self.share(name) == 0
+                assert task.choose("s", "/x") == "1"
+            if self.clock() >= DEADLINE_S:
+                assert status.verdict in ("done", "undone")
+                done = status.verdict == "done"
+                assert status.share_ppm == (move.ALL_PPM if done else 0)
+                assert task.choose("s", "/x") == ("2" if done else "1")
+        last = None
+        for token, value in self.store.history:
+            record = move_record.decode_all(value)["m"]
+            if last is not None:
+                assert record.token >= last.token
+                assert token >= last.token
+                assert last.verdict != "undone" or record == last
+                assert last.verdict != "done" or record.verdict != "running"
+                assert last.step <= record.step <= last.step + 1
+            last = record
+
+    async def settle(self):
+        """Ends all failures and lets the daemons agree."""
+        for name in list(self.held):
+            await self.wake(name)
+        self.store.down, self.store.lose_replies = False, 0
+        self.advance(max(DEADLINE_S + 10 - self.clock(), 10.0))
+        for _ in range(3):
+            self.beats()
+            self.advance(2.0)
+            for name in self.names:
+                await self.drive(name)
+                await self.tasks[name].read()
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["drive"] * 6
+            + ["advance"] * 6
+            + ["beats"] * 2
+            + ["read", "hold", "wake", "fault", "deliver", "lose", "down"]
+        ),
+        strategies.integers(0, 2),
+        strategies.sampled_from([1, 7, 15, 30]),
+    ),
+    max_size=50,
+)
+
+
+@DRAW
+@hypothesis.given(STEPS)
+def test_cuts_hold_and_one_recorded_verdict_wins(actions):
+    """Paused drivers, lapsed leases, lost replies and lost messages."""
+
+    async def play():
+        fleet = Fleet()
+        for kind, pick, amount in actions:
+            name = fleet.names[pick]
+            if kind == "drive" and name not in fleet.held:
+                await fleet.drive(name)
+            elif kind == "advance":
+                fleet.advance(amount)
+            elif kind == "beats":
+                fleet.beats(lost=fleet.names[:pick])
+            elif kind == "read":
+                with contextlib.suppress(errors.StoreError):
+                    await fleet.tasks[name].read()
+            elif kind == "hold":
+                await fleet.hold(name, "put" if amount < 20 else "get")
+            elif kind == "wake":
+                await fleet.wake(name)
+            elif kind == "fault":
+                fleet.show_fault(name)
+            elif kind == "deliver" and fleet.network.pending:
+                # Other messages are lost.
+                fleet.network.deliver(amount % len(fleet.network.pending))
+            elif kind == "lose":
+                fleet.store.lose_replies += 1
+            elif kind == "down":
+                fleet.store.down = not fleet.store.down
+            fleet.check()
+        await fleet.settle()
+        fleet.check()
+        record = (await fleet.records())["m"]
+        assert record.verdict == ("undone" if fleet.cut else record.verdict)
+        for task in fleet.tasks.values():
+            assert task.status()[0].verdict == record.verdict
+
+    asyncio.run(play())
+
+
+async def run_until(fleet, end_s, names="a", beats=True):
+    while fleet.clock() < end_s:
+        fleet.advance(1.0)
+        for name in names:
+            await fleet.drive(name)
+        if beats:
+            fleet.beats()
+
+
+async def test_a_good_version_takes_over_before_the_deadline():
+    """All daemons must agree, also those that never read the store."""
+    fleet = Fleet()
+    await run_until(fleet, DEADLINE_S - move.DONE_BEFORE_S)
+    for name in fleet.names:
+        assert fleet.tasks[name].status()[0].verdict == "done"
+        assert fleet.tasks[name].choose("s", "/x") == "2"
+    steps = len(move.SHARES_PPM)
+    assert fleet.notes["a"].kinds == ["move.running"] * steps + ["move.done"]
+
+
+async def test_lost_replies_delay_no_step_and_lose_no_note():
+    """A write that took effect must not be repeated or go unreported."""
+    fleet = Fleet()
+    while fleet.clock() < DEADLINE_S - move.DONE_BEFORE_S:
+        fleet.store.lose_replies = int(fleet.clock()) % 2
+        await run_until(fleet, fleet.clock() + 1.0)
+    fleet.store.lose_replies = 0
+    assert (await fleet.records())["m"].verdict == "done"
+    assert fleet.notes["a"].kinds[-1] == "move.done"
+    assert fleet.notes["a"].kinds.count("move.running") == 7
+
+
+async def test_a_paused_driver_that_wakes_cannot_raise_the_share():
+    """The former driver's write comes after a cut by the new one."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 49)
+    fleet.advance(2.0)
+    await fleet.hold("a", "put")
+    fleet.advance(move_task.LEASE_S + 1)
+    fleet.show_fault("b")
+    await fleet.drive("b")
+    assert (await fleet.records())["m"].verdict == "undone"
+    await fleet.wake("a")
+    assert (await fleet.records())["m"].verdict == "undone"
+    await fleet.tasks["a"].read()
+    assert fleet.share("a") == 0
+
+
+async def test_an_outage_over_the_deadline_rolls_back_everywhere():
+    """Without a verdict the share must not outlive the deadline."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 130)
+    share = fleet.share("a")
+    assert share > move.SHARES_PPM[1]
+    fleet.store.down = True
+    await run_until(fleet, DEADLINE_S - 1, "abc")
+    assert {fleet.share(name) for name in fleet.names} == {share}
+    await run_until(fleet, DEADLINE_S + 1, "abc")
+    assert {fleet.share(name) for name in fleet.names} == {0}
+    fleet.store.down = False
+    await run_until(fleet, DEADLINE_S + 10, "abc")
+    assert (await fleet.records())["m"].verdict == "undone"
+
+
+async def test_a_cut_off_daemon_adopts_a_recorded_done():
+    """A local rollback must not split the fleet for good."""
+    fleet = Fleet()
+    await run_until(fleet, DEADLINE_S + 1, beats=False)
+    assert fleet.tasks["b"].status()[0].verdict == "undone"
+    await fleet.tasks["b"].read()
+    assert fleet.tasks["b"].status()[0].verdict == "done"
+    assert fleet.tasks["b"].choose("s", "/x") == "2"
+
+
+async def test_a_cut_reaches_all_with_every_message_lost():
+    """Heartbeats must repair lost notices."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 20)
+    fleet.show_fault("b")
+    fleet.network.pending.clear()
+    assert fleet.share("c") > 0
+    fleet.beats()
+    assert [fleet.share(name) for name in fleet.names] == [0, 0, 0]
+
+
+async def test_counts_of_all_daemons_together_cut_the_version():
+    """Evidence too thin on each VM alone must count as a sum."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 20)
+    for task in fleet.tasks.values():
+        for _ in range(200):
+            task.observe(sample.Sample("/x", "1", False, 0.05, False))
+        for _ in range(3):
+            task.observe(sample.Sample("/x", "2", True, 0.05, False))
+        task.tick()
+    assert not fleet.tasks["a"].cuts()
+    fleet.beats()
+    assert fleet.tasks["a"].cuts() == ("m",)
+
+
+async def test_a_paused_daemon_holds_the_new_version_back():
+    """It may have missed a cut while it was paused."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 199 * 0.8)
+    assert "2" in {fleet.tasks["a"].choose("s", "/x") for _ in range(50)}
+    fleet.clock.advance(move_task.PAUSE_S)
+    task = fleet.tasks["a"]
+    assert {task.choose("s", "/x") for _ in range(50)} == {"1"}
+    task.tick()
+    assert {task.choose("s", "/x") for _ in range(50)} == {"1"}
+    fleet.advance(move_task.CATCH_UP_S)
+    assert "2" in {task.choose("s", "/x") for _ in range(50)}
+
+
+@pytest.mark.parametrize("requests", [1, 99, 100, 101, 5000])
+async def test_each_route_stays_within_the_share(requests):
+    """A random choice would exceed the share on a quiet route."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 10)
+    for name in ("/x", "/y"):
+        chosen = [fleet.tasks["a"].choose("s", name) for _ in range(requests)]
+        assert chosen.count("2") == requests // 100
+
+
+async def test_a_late_document_finds_the_record_that_came_first():
+    """A record read before its move is known must not be forgotten."""
+    fleet = Fleet()
+    await run_until(fleet, DEADLINE_S)
+    late = move_task.MoveTask(
+        identity.Identity("z", "i", "r", "f", "h", "p"),
+        fleet.network.link("z"),
+        fleet.store,
+        Notes(),
+        fleet.clock,
+        fleet.clock,
+    )
+    await late.read()
+    late.on_config(CONFIG)
+    assert late.choose("s", "/x") == "2"
--- /dev/null
+++ b/tests/daemon/test_ticket_desk.py
@@ -0,0 +1,288 @@
+"""Guards against a ticket that runs twice or a false "not run"."""
+
+import asyncio
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from support import fake_link
+from support import virtual_clock
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import ticket_desk
+from bramleyworks.messages import heartbeat
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member
+from bramleyworks.policy import ticket_outcome
+from bramleyworks.policy import ticket_step
+
+VMS = ("a", "b", "c", "d")
+DONE = ticket_outcome.TicketOutcome("done", 200, "text/plain", b"yes")
+DRAW = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=150, database=None
+)
+
+
+class Fleet:
+    """Desks on a lossy link, and a record of what ran at an upstream."""
+
+    def __init__(self):
+        self.clock = virtual_clock.VirtualClock()
+        self.network = fake_link.FakeNetwork()
+        self.desks = {}
+        self.incarnations = dict.fromkeys(VMS, 0)
+        self.running = []
+        self.runs = {}
+        for name in VMS:
+            self.start(name)
+
+    def start(self, name):
+        self.incarnations[name] += 1
+        me = identity.Identity(
+            name, f"i{self.incarnations[name]}", "r", "f", f"{name}:80", name
+        )
+        self.desks[name] = ticket_desk.TicketDesk(
+            me, self.network.link(name), self.clock
+        )
+        self.running = [item for item in self.running if item[0] != name]
+        self.show()
+
+    def crash(self, name):
+        self.desks.pop(name, None)
+        self.network.links.pop(name, None)
+        self.running = [item for item in self.running if item[0] != name]
+        self.show()
+
+    def show(self):
+        for name, desk in self.desks.items():
+            live = {
+                other: member.Member(self.beat(other), 0.0)
+                for other in self.desks
+                if other != name
+            }
+            desk.on_fleet(fleet_view.FleetView(name, live))
+
+    def beat(self, name):
+        return heartbeat.Heartbeat(
+            vm_id=name,
+            incarnation=f"i{self.incarnations[name]}",
+            sequence=1,
+            region="r",
+            failure_domain="f",
+            http=f"{name}:80",
+            peer=name,
+            config_version=1,
+            fresh_age_s=0.0,
+            draining=False,
+            ledger_epoch=1,
+            free_slots={},
+        )
+
+    def call(self, name, ticket, organisation, digest, forwarded=False):
+        """Does what the front end does, up to the upstream's answer."""
+        if name not in self.desks:
+            return None
+        step = self.desks[name].begin(ticket, organisation, digest, forwarded)
+        if isinstance(step, ticket_step.Run):
+            self.running.append((name, ticket, step.attempt))
+        if isinstance(step, ticket_step.Forward):
+            for target in step.targets:
+                step = self.call(
+                    target.vm_id, ticket, organisation, digest, True
+                )
+                if not isinstance(step, ticket_step.Unknown | None):
+                    return step
+            return ticket_step.Unknown("nobody knows")
+        return step
+
+    def end(self, index, outcome):
+        if self.running:
+            name, ticket, attempt = self.running.pop(index % len(self.running))
+            if outcome.kind != "not_run":
+                self.runs[ticket] = self.runs.get(ticket, 0) + 1
+            self.desks[name].finish(ticket, outcome, attempt)
+
+    def stop(self, name, lost):
+        if name not in self.desks:
+            return
+        for item in [item for item in self.running if item[0] == name]:
+            self.end(self.running.index(item), DONE)
+        asyncio.run(self.desks[name].hand_over())
+        for index, keep in enumerate(lost):
+            if not keep and index < len(self.network.pending):
+                del self.network.pending[index]
+        self.network.deliver_all()
+        self.crash(name)
+
+
+OUTCOMES = strategies.sampled_from(
+    [DONE, ticket_outcome.NOT_RUN, ticket_outcome.UNKNOWN]
+)
+SMALL = strategies.integers(0, 5)
+ACTIONS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(strategies.just("issue"), SMALL, SMALL),
+        strategies.tuples(strategies.just("call"), SMALL, SMALL),
+        strategies.tuples(strategies.just("call"), SMALL, SMALL),
+        strategies.tuples(strategies.just("lost_reply"), SMALL, SMALL),
+        strategies.tuples(strategies.just("end"), SMALL, OUTCOMES),
+        strategies.tuples(strategies.just("crash"), SMALL, SMALL),
+        strategies.tuples(strategies.just("start"), SMALL, SMALL),
+        strategies.tuples(
+            strategies.just("stop"),
+            SMALL,
+            strategies.lists(strategies.booleans(), max_size=2),
+        ),
+        strategies.tuples(strategies.just("wait"), SMALL, SMALL),
+    ),
+    max_size=40,
+)
+
+
+@DRAW
+@hypothesis.given(ACTIONS)
+def test_runs_at_most_once_and_not_run_is_true(actions):
+    """Crashes, restarts, handovers and lost replies in any order."""
+    fleet = Fleet()
+    tickets = []
+    refused = set()
+    for kind, first, second in actions:
+        name = VMS[first % len(VMS)]
+        if kind == "issue" and name in fleet.desks:
+            tickets.append(fleet.desks[name].issue("o"))
+        elif kind in ("call", "lost_reply") and tickets:
+            ticket = tickets[second % len(tickets)]
+            step = fleet.call(name, ticket, "o", "x")
+            if isinstance(step, ticket_step.NotRun):
+                assert fleet.runs.get(ticket, 0) == 0
+                assert all(item[1] != ticket for item in fleet.running)
+                refused.add(ticket)
+            elif isinstance(step, ticket_step.Replay):
+                assert fleet.runs[ticket] == 1
+        elif kind == "end":
+            fleet.end(first, second)
+        elif kind == "crash":
+            # A crash may come after the upstream ran the request.
+            for item in fleet.running:
+                if item[0] == name:
+                    fleet.runs[item[1]] = fleet.runs.get(item[1], 0) + 1
+            fleet.crash(name)
+        elif kind == "start" and name not in fleet.desks:
+            fleet.start(name)
+        elif kind == "stop":
+            fleet.stop(name, second)
+        elif kind == "wait":
+            fleet.clock.advance(150.0 * second)
+        assert max(fleet.runs.values(), default=0) <= 1
+        assert not any(fleet.runs.get(ticket) for ticket in refused)
+
+
+def test_a_stopped_issuer_is_answered_for_by_its_peers():
+    """A planned stop must not turn known outcomes into unknown ones."""
+    fleet = Fleet()
+    done, unused, broken = (fleet.desks["a"].issue("o") for _ in range(3))
+    fleet.call("a", done, "o", "x")
+    fleet.end(0, DONE)
+    fleet.call("a", broken, "o", "x")
+    fleet.end(0, ticket_outcome.UNKNOWN)
+    fleet.stop("a", ())
+    for name in "bcd":
+        assert fleet.call(name, done, "o", "x") == ticket_step.Replay(DONE)
+        assert isinstance(
+            fleet.call(name, unused, "o", "x"), ticket_step.NotRun
+        )
+        assert isinstance(
+            fleet.call(name, broken, "o", "x"), ticket_step.Unknown
+        )
+        assert isinstance(
+            fleet.call(name, done, "p", "x"), ticket_step.Mismatch
+        )
+        assert isinstance(
+            fleet.call(name, done, "o", "y"), ticket_step.Mismatch
+        )
+
+
+def test_handover_of_another_vm_is_refused():
+    """A peer must not answer for an issuer that still runs."""
+    fleet = Fleet()
+    ticket = fleet.desks["a"].issue("o")
+    fleet.desks["b"].close_unused()
+    fleet.desks["b"]._issuer = "a.i1"
+    asyncio.run(fleet.desks["b"].hand_over())
+    fleet.network.deliver_all()
+    assert isinstance(fleet.call("c", ticket, "o", "x"), ticket_step.Run)
+
+
+def test_a_closing_vm_issues_and_starts_nothing():
+    """A ticket that started after the handover would break "not run"."""
+    desk = Fleet().desks["a"]
+    ticket = desk.issue("o")
+    assert desk.close_unused() == 1
+    assert isinstance(desk.begin(ticket, "o", "x"), ticket_step.NotRun)
+    with pytest.raises(errors.TicketError):
+        desk.issue("o")
+
+
+async def test_waiters_get_the_outcome_even_if_one_is_cancelled():
+    """A cancelled repeat must not cancel the others that wait."""
+    desk = Fleet().desks["a"]
+    ticket = desk.issue("o")
+    desk.begin(ticket, "o", "x")
+    assert desk.begin(ticket, "o", "x") == ticket_step.Wait()
+    waits = [asyncio.ensure_future(desk.wait(ticket)) for _ in range(3)]
+    await asyncio.sleep(0)
+    waits[0].cancel()
+    await asyncio.sleep(0)
+    desk.finish(ticket, DONE)
+    assert [await fut for fut in waits[1:]] == [DONE, DONE]
+    assert await desk.wait(ticket) == DONE
+
+
+@pytest.mark.parametrize(
+    "ticket",
+    ["", "a", "a.i1", "a.i1.", "a.i1.01", "a.i1.-1", "a.i1.9", "a.i1.²"]
+    + ["a.i1." + "9" * 30, "x" * 300 + ".i1.1"],
+)
+def test_a_ticket_that_was_never_issued_never_runs(ticket):
+    desk = Fleet().desks["a"]
+    desk.issue("o")
+    assert isinstance(desk.begin(ticket, "o", "x"), ticket_step.Mismatch)
+
+
+def test_forward_goes_to_the_issuer_first_and_only_once():
+    """A forwarding loop would never end."""
+    fleet = Fleet()
+    ticket = fleet.desks["a"].issue("o")
+    step = fleet.desks["b"].begin(ticket, "o", "x")
+    assert step.targets[0] == ticket_step.Target("a", "a:80")
+    step = fleet.desks["b"].begin(ticket, "o", "x", forwarded=True)
+    assert isinstance(step, ticket_step.Unknown)
+
+
+def test_a_late_report_of_an_earlier_attempt_is_ignored():
+    """A repeated "not run" report would let a running ticket run again."""
+    desk = Fleet().desks["a"]
+    ticket = desk.issue("o")
+    first = desk.begin(ticket, "o", "x")
+    desk.finish(ticket, ticket_outcome.NOT_RUN, first.attempt)
+    assert desk.begin(ticket, "o", "x") == ticket_step.Run(2)
+    desk.finish(ticket, ticket_outcome.NOT_RUN, first.attempt)
+    assert desk.begin(ticket, "o", "x") == ticket_step.Wait()
+
+
+def test_large_bodies_are_not_replayed_as_whole():
+    """A truncated replay must not look like the whole answer."""
+    fleet = Fleet()
+    for size, whole in ((4096, True), (4097, False), (65_537, False)):
+        ticket = fleet.desks["a"].issue("o")
+        fleet.call("a", ticket, "o", "x")
+        fleet.end(0, dataclasses.replace(DONE, body=b"x" * size))
+        kept = fleet.call("a", ticket, "o", "x").outcome
+        assert kept.whole == (size <= 65_536)
+        asyncio.run(fleet.desks["a"].hand_over())
+        fleet.network.deliver_all()
+        fleet.crash("a")
+        assert fleet.call("b", ticket, "o", "x").outcome.whole == whole
+        fleet.start("a")
--- /dev/null
+++ b/tests/lab/test_move_model.py
@@ -0,0 +1,24 @@
+"""Guards against a test of versions that is too slow or too eager."""
+
+import pytest
+
+from bramleyworks_lab import move_model
+
+SMALL = move_model.Size(vms=3, watchers=2, rate_per_s=150.0, length_s=120.0)
+
+
+@pytest.mark.parametrize("name", ["good, old 0.1%", "good, old 1%"])
+def test_good_versions_finish(name):
+    scenario = next(s for s in move_model.SCENARIOS if s.name == name)
+    for seed in range(2):
+        assert move_model.simulate(scenario, SMALL, seed).verdict == "done"
+
+
+@pytest.mark.parametrize("name", ["50% at once", "50% under load"])
+def test_bad_versions_get_at_most_two_percent(name):
+    scenario = next(s for s in move_model.SCENARIOS if s.name == name)
+    for seed in range(5):
+        outcome = move_model.simulate(scenario, SMALL, seed)
+        assert outcome.verdict == "undone"
+        assert outcome.share <= 0.02
+        assert outcome.late_requests == 0
--- /dev/null
+++ b/tests/policy/test_move.py
@@ -0,0 +1,72 @@
+"""Guards against a share that rises early or a verdict that comes late."""
+
+import hypothesis
+from hypothesis import strategies
+
+from bramleyworks.document import move as move_module
+from bramleyworks.policy import move
+
+PLAN = move_module.Move("m", "s", "1", "2", 0.0, 1000.0)
+DRAW = hypothesis.settings(derandomize=True, deadline=None, database=None)
+
+
+def allowed(now_s):
+    """The highest share of section 3.6, written as plain cases."""
+    if now_s < 250:
+        return 10_000
+    if now_s < 500:
+        return 20_000
+    late = (50_000, 100_000, 250_000, 500_000, 1_000_000)
+    return late[min(int((now_s - 500) / 75 + 1e-9), 4)]
+
+
+@DRAW
+@hypothesis.given(
+    strategies.lists(strategies.floats(0.5, 200.0), max_size=60),
+    strategies.none() | strategies.floats(0.0, 1100.0),
+)
+def test_no_step_comes_early_and_no_verdict_late(gaps, cut_s):
+    record, now_s, token = None, -50.0, 1
+    for gap in gaps:
+        now_s += gap
+        token += int(gap) % 2
+        reason = "bad" if cut_s is not None and now_s >= cut_s else None
+        changed = move.next_record(PLAN, record, reason, token, now_s)
+        if changed is None:
+            continue
+        assert changed.token == token
+        if record is not None:
+            assert record.verdict != "undone"
+            assert changed.step in (record.step, record.step + 1)
+        if changed.verdict == "done":
+            assert record.share_ppm == move.ALL_PPM
+            assert now_s <= 990.0 or record.verdict == "done"
+        elif changed.verdict == "undone":
+            assert changed.share_ppm == 0
+            assert reason or now_s >= 1000.0
+        else:
+            assert 0.0 <= now_s < 1000.0
+            assert changed.share_ppm <= allowed(now_s)
+        assert reason is None or changed.verdict == "undone"
+        record = changed
+
+
+@DRAW
+@hypothesis.given(strategies.integers(100, 100_000), strategies.integers(0, 9))
+def test_a_driver_that_is_always_there_finishes(length_s, late_s):
+    """A schedule without room for the last steps would undo good moves."""
+    plan = move_module.Move("m", "s", "1", "2", 0.0, float(length_s))
+    record = None
+    now_s = late_s / 10
+    while now_s < length_s:
+        changed = move.next_record(plan, record, None, 1, now_s)
+        record = changed or record
+        now_s += max(3.0, length_s / 400)
+    assert record.verdict == "done"
+
+
+def test_the_deadline_rule_holds_without_a_verdict():
+    record = move.next_record(PLAN, None, None, 1, 0.0)
+    assert move.share_ppm(PLAN, record, False, 999.9) == 10_000
+    assert move.share_ppm(PLAN, record, False, 1000.0) == 0
+    assert move.share_ppm(PLAN, None, False, 10.0) == 0
--- /dev/null
+++ b/tests/policy/test_tickets.py
@@ -0,0 +1,140 @@
+"""Guards against unbounded memory and lost outcomes of tickets."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from bramleyworks.policy import ticket_outcome
+from bramleyworks.policy import ticket_step
+from bramleyworks.policy import tickets
+
+DONE = ticket_outcome.TicketOutcome("done", 200)
+LIMIT = 6
+BYTES = 100
+DRAW = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200, database=None
+)
+
+
+class Naive:
+    """The rules of section 3.4 without limits on memory."""
+
+    def __init__(self):
+        self.states = {}
+
+    def begin(self, sequence, organisation, digest, now_s):
+        owner, bound, state, ended_s = self.states[sequence]
+        if state in ("done", "unknown", "not_run"):
+            if now_s - ended_s > tickets.KEEP_S:
+                return ticket_step.Unknown
+        if owner != organisation or bound not in (None, digest):
+            return ticket_step.Mismatch
+        if state in ("issued", "not_run"):
+            self.states[sequence] = (owner, digest, "running", 0.0)
+        return {
+            "issued": ticket_step.Run,
+            "not_run": ticket_step.Run,
+            "running": ticket_step.Wait,
+            "done": ticket_step.Replay,
+            "unknown": ticket_step.Unknown,
+        }[state]
+
+    def finish(self, sequence, kind, now_s):
+        owner, bound, state, _ = self.states[sequence]
+        if state == "running":
+            self.states[sequence] = (owner, bound, kind, now_s)
+
+
+@DRAW
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["issue", "begin", "finish", "wait"]),
+            strategies.integers(0, 9),
+            strategies.sampled_from("op"),
+            strategies.sampled_from(["done", "unknown", "not_run"]),
+            strategies.integers(0, 60),
+        ),
+        max_size=60,
+    ),
+    strategies.sampled_from([LIMIT, 1000]),
+)
+def test_book_equals_the_naive_rules_or_says_unknown(actions, limit):
+    """With room the book equals the rules; without it only says unknown."""
+    book = tickets.TicketBook("v.i", limit, BYTES)
+    naive = Naive()
+    runs = {}
+    now_s = 0.0
+    for kind, pick, organisation, end, size in actions:
+        sequence = pick % max(book.last_sequence, 1) + 1
+        if kind == "issue" and book.issue(organisation):
+            naive.states[book.last_sequence] = (
+                organisation,
+                None,
+                "issued",
+                0.0,
+            )
+        elif kind == "begin" and sequence <= book.last_sequence:
+            step = book.begin(sequence, organisation, end, now_s)
+            before = dict(naive.states)
+            wanted = naive.begin(sequence, organisation, end, now_s)
+            if isinstance(step, ticket_step.Unknown) and limit == LIMIT:
+                naive.states = before
+                naive.states[sequence] = (organisation, end, "unknown", now_s)
+                continue
+            assert isinstance(step, wanted)
+            if isinstance(step, ticket_step.Replay):
+                assert step.outcome.whole == bool(step.outcome.body)
+        elif kind == "finish" and sequence <= book.last_sequence:
+            body = b"x" * (size + 1) if end == "done" else b""
+            outcome = ticket_outcome.TicketOutcome(end, 200, "", body)
+            if book.finish(sequence, outcome, now_s) and end != "not_run":
+                runs[sequence] = runs.get(sequence, 0) + 1
+            naive.finish(sequence, end, now_s)
+        elif kind == "wait":
+            now_s += pick * 100
+            book.expire(now_s)
+        assert len(book) <= limit
+        assert 0 <= book.body_bytes <= BYTES
+        assert max(runs.values(), default=0) <= 1
+
+
+def test_an_organisation_can_not_push_out_the_outcomes_of_another():
+    book = tickets.TicketBook("v.i", 10)
+    book.issue("small")
+    book.begin(1, "small", "x", 0.0)
+    book.finish(1, DONE, 0.0)
+    for _ in range(50):
+        assert book.issue("large")
+    assert book.begin(1, "small", "x", 1.0) == ticket_step.Replay(DONE)
+    assert len(book) == 10
+
+
+def test_a_full_book_of_running_tickets_issues_none():
+    """Forgetting a running ticket would lose its outcome."""
+    book = tickets.TicketBook("v.i", 2)
+    for sequence in (1, 2):
+        book.issue("o")
+        book.begin(sequence, "o", "x", 0.0)
+    assert book.issue("o") is None
+    assert book.running == 2
+
+
+def test_handovers_stay_within_their_limits():
+    """Many stopping VMs must not fill the memory of one that stays."""
+    book = tickets.HandoverBook(max_tickets=10, max_bytes=1000)
+    sender = tickets.TicketBook("v.i")
+    for sequence in range(1, 21):
+        sender.issue("o")
+        sender.begin(sequence, "o", "x", 0.0)
+        body = dataclasses.replace(DONE, body=b"x" * 50)
+        sender.finish(sequence, body, 0.0)
+    sender.close_unused()
+    book.add("v.i", dict(sender.handover()), 0.0)
+    assert 0 < len(book) <= 10
+    assert 0 < book.size <= 1000
+    assert book.begin("v.i", 1, "o", "x", 0.0) is None
+    assert book.begin("v.i", 20, "o", "x", 0.0).outcome.whole
+    book.expire(tickets.KEEP_S + 1)
+    assert (len(book), book.size) == (0, 0)
