Add the process harness and the tests of clients and stand-ins

Cause: process tests need child processes that are configured, signalled and always ended; a stand-in that does not show its fault would prove nothing.

--- a/src/bramleyworks_standins/upstream_app.py
+++ b/src/bramleyworks_standins/upstream_app.py
@@ -204,7 +204,8 @@
             size, parts = _json_body({"error": "switched on"})
         elif path.startswith(DOCUMENTS) and scope["method"] == "GET":
             query = datastructures.QueryParams(scope["query_string"])
-            size = int(query.get("bytes", "0"))
+            text = query.get("bytes", "")
+            size = int(text) if text.isdecimal() else 0
             parts = pattern.chunks(path.removeprefix(DOCUMENTS), size)
         else:
             size, parts = _json_body(
@@ -220,7 +221,9 @@
                     **echo,
                 }
             )
-        await _start(send, 500 if plan.fails else 200, size)
+        await _start(
+            send, 500 if plan.fails else 200, size, _request_id(headers)
+        )
         to_send = size // 2 if plan.short else size
         for part in parts:
             part = part[:to_send]
@@ -263,6 +266,14 @@
     return max(0.0, deadline_s - time.monotonic())
 
 
+def _request_id(headers) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns the header that tells which request an answer belongs to."""
+    request_id = headers.get("x-request-id")
+    if request_id is None:
+        return ()
+    return ((b"x-request-id", request_id.encode("latin-1")),)
+
+
 def _json_body(content: dict) -> tuple[int, Iterable[bytes]]:
     data = msgspec.json.encode(content)
     return len(data), (data,)
--- /dev/null
+++ b/tests/standins/test_upstream.py
@@ -0,0 +1,251 @@
+"""Guards the stand-in upstream: a fault it does not show proves nothing."""
+
+import asyncio
+import hashlib
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from support import fleet
+
+from bramleyworks_standins import pattern
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def flt(tmp_path_factory):
+    async with fleet.Fleet(tmp_path_factory.mktemp("upstream")) as started:
+        yield started
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def up(flt):
+    """A fresh upstream with two slots and one place in its queue."""
+    await flt.start_upstream("up", slots=2, queue=1, mean_ms=1)
+    yield flt.urls["up"]
+    flt.children["up"].kill()
+
+
+async def _call(flt, url, method="GET", **kwargs):
+    async with flt.http.request(method, url, **kwargs) as resp:
+        return resp.status, await resp.read()
+
+
+async def _wait_busy(flt, up, busy):
+    async def reached():
+        return (await flt.get(f"{up}/-/health"))["busy"] == busy
+
+    await flt.wait_for(reached, f"{busy} busy slots", 5.0)
+
+
+async def test_answer_repeats_the_request_and_runs_are_counted(flt, up):
+    order = b"o" * 300_000
+    headers = {"X-Request-Id": "r1", "X-Organisation": "sudo-mart"}
+    async with flt.http.post(
+        f"{up}/orders", data=order, headers={**headers, "Idempotency-Key": "t"}
+    ) as resp:
+        answer = await resp.json()
+        assert resp.headers["X-Request-Id"] == "r1"
+    assert answer["sha256"] == hashlib.sha256(order).hexdigest()
+    assert answer["request_id"] == "r1"
+    await _call(flt, f"{up}/stock", headers=headers)
+    runs = await flt.runs("up")
+    assert runs["by_request"] == {"r1": 2}
+    assert runs["by_ticket"] == {"t": 1}
+    assert runs["by_organisation"] == {"sudo-mart": 2}
+    assert not runs["key_header_seen"]
+
+
+@pytest.mark.parametrize("name", ["Authorization", "X-Api-Key"])
+async def test_key_header_is_noticed_even_if_the_request_is_shed(flt, up, name):
+    await flt.post(f"{up}/-/drain", {"refuse": True})
+    status, _ = await _call(flt, f"{up}/a", headers={name: "Bearer k"})
+    assert status == 503
+    assert (await flt.runs("up"))["key_header_seen"]
+
+
+async def test_full_upstream_queues_one_and_sheds_the_rest_as_not_run(flt, up):
+    await flt.faults("up", slow_factor=100_000)
+    calls = {asyncio.create_task(_not_run(flt, up)) for _ in range(6)}
+    shed = set()
+    while len(shed) < 3:
+        done, calls = await asyncio.wait(
+            calls, return_when=asyncio.FIRST_COMPLETED
+        )
+        shed |= done
+    assert [task.result() for task in shed] == [(503, "1")] * 3
+    runs = await flt.runs("up")
+    assert (runs["runs"], runs["shed"]) == (2, 3)
+    assert (runs["max_busy"], runs["max_waiting"]) == (2, 1)
+    await _abandon(calls)
+
+
+async def _not_run(flt, url, **kwargs):
+    async with flt.http.get(url, **kwargs) as resp:
+        return resp.status, resp.headers.get("X-Not-Run")
+
+
+async def _abandon(calls):
+    for task in calls:
+        task.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+
+
+async def test_caller_that_leaves_frees_its_slot(flt, up):
+    await flt.faults("up", slow_factor=100_000)
+    held = asyncio.create_task(_call(flt, f"{up}/held"))
+    await _wait_busy(flt, up, 1)
+    held.cancel()
+    await _wait_busy(flt, up, 0)
+    assert (await flt.runs("up"))["cancelled"] == 1
+
+
+async def test_incomplete_order_does_not_count_as_a_run(flt, up):
+    host, port = up.removeprefix("http://").split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /orders HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf"
+    )
+    await writer.drain()
+    writer.close()
+
+    async def noticed():
+        return (await flt.runs("up"))["incomplete"] == 1
+
+    await flt.wait_for(noticed, "the incomplete order", 5.0)
+    assert (await flt.runs("up"))["runs"] == 0
+
+
+async def test_deadline_ends_a_run_and_a_wait(flt, up):
+    await flt.faults("up", slow_factor=100_000)
+    deadline = {"X-Deadline-Ms": "1000"}
+    status, _ = await _call(flt, f"{up}/run", headers=deadline)
+    assert status == 504
+    held = [asyncio.create_task(_call(flt, f"{up}/{i}")) for i in range(2)]
+    await _wait_busy(flt, up, 2)
+    assert await _not_run(flt, up, headers=deadline) == (503, "1")
+    await _abandon(held)
+
+
+async def test_document_is_streamed_whole_and_checkable(flt, up):
+    size = 3 * pattern.CHUNK_BYTES + 17
+    status, body = await _call(flt, f"{up}/documents/plan?bytes={size}")
+    assert status == 200
+    assert body == b"".join(pattern.chunks("plan", size))
+    assert len(body) == size
+
+
+@pytest.mark.parametrize("size", [1, 200_000])
+async def test_short_answer_is_short(flt, up, size):
+    await flt.faults("up", short_share=1.0)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await _call(flt, f"{up}/documents/plan?bytes={size}")
+
+
+async def test_reset_happens_after_the_order_was_read_and_run(flt, up):
+    await flt.faults("up", reset_share=1.0, path_prefix="/orders")
+    with pytest.raises(aiohttp.ClientOSError):
+        await _call(flt, f"{up}/orders", "POST", data=b"o" * 100_000)
+    assert (await flt.runs("up"))["runs"] == 1
+    assert (await _call(flt, f"{up}/stock"))[0] == 200
+
+
+async def test_extra_answer_reaches_the_next_request_of_a_pool(flt, up):
+    """The fault exists: a plain client takes the stale answer for its own."""
+    await flt.faults("up", extra_share=1.0, extra_after_ms=50)
+    assert b'"path":"/first"' in (await _call(flt, f"{up}/first"))[1]
+
+    async def is_stale():
+        return b"stale" in (await _call(flt, f"{up}/second"))[1]
+
+    await flt.wait_for(is_stale, "the stale answer", 5.0)
+
+
+async def test_late_answer_gives_back_its_slot_before(flt, up):
+    await flt.faults("up", late_share=1.0, late_ms=3000)
+    late = asyncio.create_task(_call(flt, f"{up}/late"))
+
+    async def ran():
+        return (await flt.runs("up"))["runs"] == 1
+
+    await flt.wait_for(ran, "the run", 2.0)
+    await _wait_busy(flt, up, 0)
+    assert not late.done()
+    late.cancel()
+
+
+async def test_failures_only_under_load_and_on_one_route(flt, up):
+    await flt.faults(
+        "up", fail_share=1.0, over_busy=1, path_prefix="/bad", slow_factor=1
+    )
+    assert (await _call(flt, f"{up}/bad"))[0] == 200
+    await flt.faults("up", path_prefix="/slow", over_busy=0, slow_factor=1e5)
+    held = asyncio.create_task(_call(flt, f"{up}/slow"))
+    await _wait_busy(flt, up, 1)
+    await flt.faults("up", path_prefix="/bad", over_busy=1, slow_factor=1)
+    assert (await _call(flt, f"{up}/bad"))[0] == 500
+    assert (await _call(flt, f"{up}/good"))[0] == 200
+    held.cancel()
+
+
+async def test_fault_that_appears_late(flt, up):
+    await flt.faults("up", fail_share=1.0, after_s=1.5)
+    assert (await _call(flt, f"{up}/a"))[0] == 200
+
+    async def fails():
+        return (await _call(flt, f"{up}/a"))[0] == 500
+
+    await flt.wait_for(fails, "the fault", 5.0)
+
+
+@pytest.mark.parametrize(
+    "switches, status, busy",
+    [
+        ({"health": "lag", "health_lag_s": 30}, "ok", 0),
+        ({"health": "freeze"}, "ok", 0),
+        ({"health": "lie", "health_lie": {"busy": 9}}, "draining", 9),
+    ],
+)
+async def test_health_that_misleads(flt, up, switches, status, busy):
+    await flt.faults("up", slow_factor=100_000, **switches)
+    held = asyncio.create_task(_call(flt, f"{up}/held"))
+
+    async def ran():
+        return (await flt.runs("up"))["runs"] == 1
+
+    await flt.wait_for(ran, "the run", 5.0)
+    await flt.post(f"{up}/-/drain", {})
+    shown = await flt.get(f"{up}/-/health")
+    assert (shown["status"], shown["busy"]) == (status, busy)
+    await flt.faults("up", health="true")
+    shown = await flt.get(f"{up}/-/health")
+    assert shown == {
+        "status": "draining",
+        "busy": 1,
+        "slots": 2,
+        "version": "v1",
+    }
+    held.cancel()
+
+
+async def test_lagging_health_follows_in_the_end(flt, up):
+    await flt.faults("up", health="lag", health_lag_s=0.3)
+    await flt.post(f"{up}/-/drain", {})
+
+    async def drained():
+        return (await flt.get(f"{up}/-/health"))["status"] == "draining"
+
+    await flt.wait_for(drained, "the lagging health answer", 5.0)
+
+
+async def test_failing_health_endpoint(flt, up):
+    await flt.faults("up", health="error")
+    assert (await _call(flt, f"{up}/-/health"))[0] == 500
+
+
+@pytest.mark.parametrize("content", [{"colour": 1}, {"health": "odd"}, [1]])
+async def test_wrong_switch_is_refused(flt, up, content):
+    """A mistyped switch would make a test pass without its fault."""
+    async with flt.http.post(f"{up}/-/faults", json=content) as resp:
+        assert resp.status == 400
--- /dev/null
+++ b/tests/support/child.py
@@ -0,0 +1,82 @@
+"""A child process with a log file."""
+
+import ctypes
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+SRC = pathlib.Path(__file__).parents[2] / "src"
+STOP_S = 3.0
+TAIL_BYTES = 2000
+_PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
+
+
+def _die_with_parent():
+    # A test run that is killed can not end its children itself, and a stopped
+    # child would stay for ever.
+    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Child:
+    """Runs ``python -m MODULE ARGS``; signals go to this process only."""
+
+    def __init__(self, name, module, args, log_path, python_path=()):
+        self.name = name
+        self.log_path = log_path
+        paths = [str(SRC), *map(str, python_path)]
+        with open(log_path, "ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", module, *map(str, args)],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                preexec_fn=_die_with_parent,
+            )
+        self.pid = self._process.pid
+
+    def exit_code(self):
+        """Returns the exit code, None while the process runs."""
+        return self._process.poll()
+
+    def signal(self, number):
+        self._process.send_signal(number)
+
+    def kill(self):
+        """Ends the process by SIGKILL, even if it is stopped."""
+        self.signal(signal.SIGKILL)
+        return self.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def terminate(self):
+        """Sends SIGTERM without waiting."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, timeout_s=STOP_S):
+        """Waits for the end; raises subprocess.TimeoutExpired."""
+        return self._process.wait(timeout_s)
+
+    def close(self):
+        """Ends the process in any case; repeated calls do nothing."""
+        if self.exit_code() is not None:
+            return
+        self.resume()
+        self.terminate()
+        try:
+            self.wait()
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+    def tail(self):
+        return self.log()[-TAIL_BYTES:]
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,302 @@
+"""A fleet of processes on loopback for process tests.
+
+The fleet owns every process it starts and ends all of them when its context
+ends. Wherever a process is not ready in time, the error holds the end of its
+log.
+"""
+
+import asyncio
+import configparser
+import contextlib
+import dataclasses
+import pathlib
+import subprocess
+import time
+import uuid
+
+import aiohttp
+from support import child
+from support import ports
+
+from bramleyworks import errors
+from bramleyworks.document import codec
+from bramleyworks.document import stored_config
+from bramleyworks.platform import http_session
+from bramleyworks.platform import store_http
+
+READY_S = 15.0
+CALL_S = 15.0
+POLL_S = 0.05
+# A paused process accepts connections but does not answer.
+PROBE = aiohttp.ClientTimeout(total=1.0)
+STANDINS = "bramleyworks_standins"
+
+
+@dataclasses.dataclass
+class Vm:
+    """A daemon's place; the process may change over its life."""
+
+    id: str
+    region: str
+    failure_domain: str
+    http: str
+    peer: str
+    state: str = "live"
+    process: child.Child | None = None
+
+    @property
+    def url(self):
+        return f"http://{self.http}"
+
+
+class Fleet:
+    """Starts, changes and ends the processes.
+
+    Attributes:
+        http: Client session for calls of the test; it repeats nothing.
+        children: Newest process by name.
+        urls: Base URL of each stand-in by name.
+        vms: Daemons by VM id.
+        kv: Client of the store, once the store was started.
+    """
+
+    def __init__(
+        self,
+        folder,
+        daemon_module="bramleyworks.daemon",
+        drain_s=10.0,
+        python_path=(),
+    ):
+        self._folder = pathlib.Path(folder)
+        self._daemon_module = daemon_module
+        self._drain_s = drain_s
+        self._python_path = python_path
+        self._stack = contextlib.AsyncExitStack()
+        self._started = []
+        self.http: aiohttp.ClientSession | None = None
+        self.kv: store_http.HttpStore | None = None
+        self.children: dict[str, child.Child] = {}
+        self.urls: dict[str, str] = {}
+        self.vms: dict[str, Vm] = {}
+
+    async def __aenter__(self):
+        self._stack.callback(self._end_children)
+        self.http = await self._stack.enter_async_context(
+            http_session.create(CALL_S)
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def _end_children(self):
+        # All get the signal first, so that they stop side by side.
+        for process in self._started:
+            if process.exit_code() is None:
+                process.resume()
+                process.terminate()
+        for process in self._started:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait()
+            process.close()
+
+    def _start(self, name, module, args, python_path=()):
+        process = child.Child(
+            name, module, args, self._folder / f"{name}.log", python_path
+        )
+        self._started.append(process)
+        self.children[name] = process
+        return process
+
+    async def start_standin(self, name, kind, /, **options):
+        """Starts a stand-in and waits for it; returns its base URL.
+
+        A second start under the same name keeps the port.
+        """
+        url = self.urls.get(name) or f"http://127.0.0.1:{ports.free_port()}"
+        args = ["--port", url.rpartition(":")[2]]
+        for key, value in options.items():
+            args += [f"--{key.replace('_', '-')}", value]
+        self.urls[name] = url
+        process = self._start(name, f"{STANDINS}.{kind}", args)
+        await self._wait_ready(process, f"{url}/-/faults")
+        return url
+
+    async def start_store(self):
+        url = await self.start_standin("store", "store")
+        if self.kv is None:
+            self.kv = await self._stack.enter_async_context(
+                store_http.HttpStore(url)
+            )
+        return url
+
+    async def start_vm_list(self, lag_s=0.2):
+        return await self.start_standin("vm_list", "vm_list", lag_s=lag_s)
+
+    async def start_upstream(self, name, version="v1", slots=5, **options):
+        return await self.start_standin(
+            name, "upstream", name=name, version=version, slots=slots, **options
+        )
+
+    def add_vm(self, vm_id, region, failure_domain):
+        """Reserves the addresses of a daemon without starting it."""
+        vm = Vm(
+            vm_id,
+            region,
+            failure_domain,
+            http=f"127.0.0.1:{ports.free_port()}",
+            peer=f"127.0.0.1:{ports.free_port()}",
+        )
+        self.vms[vm_id] = vm
+        return vm
+
+    async def publish_vms(self):
+        """Posts all daemons, with their states, to the VM list."""
+        fields = ("id", "region", "failure_domain", "http", "peer", "state")
+        vms = [
+            {name: getattr(vm, name) for name in fields}
+            for vm in self.vms.values()
+        ]
+        await self.post(f"{self.urls['vm_list']}/vms", {"vms": vms})
+
+    def settings(self, vm):
+        """Returns the settings of a daemon, section 2.2 of the page."""
+        seeds = [other.peer for other in self.vms.values() if other is not vm]
+        return {
+            "vm": {
+                "id": vm.id,
+                "region": vm.region,
+                "failure_domain": vm.failure_domain,
+                "address": vm.http.rpartition(":")[0],
+            },
+            "listen": {"http": vm.http, "peer": vm.peer},
+            "store": {"url": self.urls["store"]},
+            "vm_list": {"url": self.urls["vm_list"]},
+            "seeds": {"peers": ",".join(seeds)},
+            "limits": {"drain_s": str(self._drain_s)},
+            "log": {"level": "info"},
+        }
+
+    def start_daemon(self, vm):
+        """Starts the daemon of a VM, also again after its end."""
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(self.settings(vm))
+        path = self._folder / f"{vm.id}.ini"
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+        vm.process = self._start(
+            vm.id, self._daemon_module, ["--config", path], self._python_path
+        )
+        return vm.process
+
+    async def start_daemons(self):
+        """Starts the daemons of all VMs and waits until they answer."""
+        for vm in self.vms.values():
+            self.start_daemon(vm)
+        for vm in self.vms.values():
+            await self.wait_ready(vm)
+
+    async def wait_ready(self, vm, timeout_s=READY_S):
+        await self._wait_ready(vm.process, f"{vm.url}/-/status", timeout_s)
+
+    async def _wait_ready(self, process, url, timeout_s=READY_S):
+        end_s = time.monotonic() + timeout_s
+        seen = "no answer"
+        while time.monotonic() < end_s:
+            if process.exit_code() is not None:
+                seen = f"exit code {process.exit_code()}"
+                break
+            try:
+                async with self.http.get(url, timeout=PROBE) as resp:
+                    if resp.status == 200:
+                        return
+                    seen = f"status {resp.status}"
+            except (aiohttp.ClientError, TimeoutError) as exc:
+                seen = repr(exc)
+            await asyncio.sleep(POLL_S)
+        raise AssertionError(
+            f"{process.name} is not ready: {seen}\n{process.tail()}"
+        )
+
+    async def write_document(self, doc, author="test"):
+        """Writes a document as the next version; returns the version.
+
+        Version and revision are read first and a lost reply is resolved by
+        reading back, like the operators' tool does.
+        """
+        known = await self.kv.get(stored_config.CONFIG_KEY)
+        version = 1
+        if known is not None:
+            stored = codec.decode_stored(known.value).unwrap()
+            version = stored.version + 1
+        new = stored_config.StoredConfig(
+            version=version,
+            apply_id=uuid.uuid4().hex,
+            author=author,
+            time_s=time.time(),
+            doc=doc,
+        )
+        try:
+            await self.kv.put(
+                stored_config.CONFIG_KEY,
+                codec.encode_stored(new),
+                known.revision if known else 0,
+            )
+        except errors.StoreUnknownError:
+            found = await self.kv.get(stored_config.CONFIG_KEY)
+            if codec.decode_stored(found.value).unwrap() != new:
+                raise
+        return version
+
+    async def wait_version(self, version, vms=None, timeout_s=READY_S):
+        """Waits until daemons have a version in force; returns the seconds."""
+        started_s = time.monotonic()
+        for vm in self.vms.values() if vms is None else vms:
+            await self.wait_for(
+                lambda vm=vm: self._has_version(vm, version),
+                f"{vm.id} with version {version}",
+                started_s + timeout_s - time.monotonic(),
+            )
+        return time.monotonic() - started_s
+
+    async def _has_version(self, vm, version):
+        try:
+            status = await self.get(f"{vm.url}/-/status", timeout=PROBE)
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        return status.get("config_version", 0) >= version
+
+    async def wait_for(self, check, what, timeout_s=READY_S):
+        """Waits until an asynchronous check returns a true value.
+
+        Returns:
+            The value.
+        """
+        end_s = time.monotonic() + timeout_s
+        while True:
+            found = await check()
+            if found:
+                return found
+            if time.monotonic() >= end_s:
+                raise AssertionError(f"waited too long for {what}")
+            await asyncio.sleep(POLL_S)
+
+    async def get(self, url, **kwargs):
+        """Returns the JSON answer of a GET."""
+        async with self.http.get(url, **kwargs) as resp:
+            return await resp.json()
+
+    async def post(self, url, content):
+        """Posts JSON; returns the JSON answer."""
+        async with self.http.post(url, json=content) as resp:
+            if resp.status != 200:
+                raise AssertionError(f"{url}: {await resp.text()}")
+            return await resp.json()
+
+    async def faults(self, name, **switches):
+        """Changes fault switches of a stand-in."""
+        return await self.post(f"{self.urls[name]}/-/faults", switches)
+
+    async def runs(self, name):
+        """Returns what ran on an upstream."""
+        return await self.get(f"{self.urls[name]}/-/runs")
