Validate a whole document and name every problem at once

Cause: operators control the system only through one document, so a document that breaks a reference, a bound or a move must not be written.

--- /dev/null
+++ b/src/bramleyworks/document/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules of a document, one module for each group."""
--- /dev/null
+++ b/src/bramleyworks/document/rules/field_rules.py
@@ -0,0 +1,82 @@
+"""Rules for single fields that several rule groups share."""
+
+import math
+import re
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from bramleyworks.document import problem
+
+# Names appear in HTTP headers, in limit names (``org:NAME``) and in targets
+# (``REGION/NAME``), so colons, slashes and spaces can not be part of them.
+NAME_MAX_CHARS = 64
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+
+Problems = Iterator[problem.Problem]
+
+
+def name(path: str, value: str) -> Problems:
+    """Checks a name."""
+    if not _NAME.match(value):
+        yield problem.Problem(
+            path,
+            f"must be 1 to {NAME_MAX_CHARS} letters, digits, '.', '_' or '-'"
+            f" and start with a letter or digit, is {shorten(value)}",
+        )
+
+
+def number(
+    path: str, value: float, low: float, high: float, unit: str
+) -> Problems:
+    """Checks that a number lies between two bounds, inclusive."""
+    # NaN fails both comparisons and infinity the finite upper bound.
+    if not (math.isfinite(value) and low <= value <= high):
+        yield problem.Problem(
+            path,
+            f"must be {low:,.15g} to {high:,.15g} {unit}, is {value:,.15g}",
+        )
+
+
+def unique(values: Iterable[tuple[str, str]], what: str) -> Problems:
+    """Checks pairs of path and value for values that occur before."""
+    seen: dict[str, str] = {}
+    for path, value in values:
+        if value in seen:
+            yield problem.Problem(
+                path,
+                f"{what} must be unique, {shorten(value)} is also at"
+                f" {seen[value]}",
+            )
+        else:
+            seen[value] = path
+
+
+def known(path: str, value: str, names: Collection[str], what: str) -> Problems:
+    """Checks that a reference names something in the document."""
+    if value not in names:
+        yield problem.Problem(
+            path, f"{what} {shorten(value)} is not in the document"
+        )
+
+
+def site(
+    path: str,
+    region: str,
+    failure_domain: str,
+    sites: dict[str, tuple[str, ...]],
+) -> Problems:
+    """Checks the region and failure domain of an item."""
+    if region not in sites:
+        yield from known(f"{path}.region", region, sites, "region")
+    elif failure_domain not in sites[region]:
+        yield problem.Problem(
+            f"{path}.failure_domain",
+            f"failure domain {shorten(failure_domain)} is not in region"
+            f" {region!r}",
+        )
+
+
+def shorten(value: str) -> str:
+    """Returns a quoted value, cut so that a message stays readable."""
+    return repr(value if len(value) <= 80 else value[:77] + "...")
