Write configurations by compare-and-swap without a second write

Cause: operators race each other and the store loses replies. Change: platform.config_writer.apply refuses a stale base version with the changes since, validates, writes once, and resolves a lost reply by reading back the apply id, which history entries now hold. Conclusion: a lost write that reads do not show is reported as unknown, because it may still arrive; applying again with the same base is safe.

--- a/src/bramleyworks/document/history_entry.py
+++ b/src/bramleyworks/document/history_entry.py
@@ -11,9 +11,11 @@
         author: Operator who applied it.
         time_s: Unix time in seconds.
         summary: The changes in one line.
+        apply_id: Random id of the write, to recognise it later.
     """
 
     version: int
     author: str
     time_s: float
     summary: str
+    apply_id: str = ""
