Judge acceptance from daemons' status and read moves and audit entries

Conclusion: versions that a daemon hears from members count too, because a daemon never goes back to an older version.

--- a/src/bramleyworks/document/rules/move_rules.py
+++ b/src/bramleyworks/document/rules/move_rules.py
@@ -4,16 +4,12 @@
 from bramleyworks.document import problem
 from bramleyworks.document.rules import check_context
 from bramleyworks.document.rules import field_rules
+from bramleyworks.policy import move as schedule
 
-# The last steps of a move are 6% of its time each and 100% comes at 80%, 10 s
-# before the deadline at the latest (section 3.6 of the design page). At 60 s a
-# step lasts 3.6 s, more than the 2 s in which a fault must show, and 100% is
-# reached 2 s before that limit.
-MOVE_MIN_S = 60.0
 MOVE_MAX_S = 30 * 86400.0
-# The first step, 1%, lasts a quarter of the time; a move applied later than
-# that would begin with a larger share.
-FIRST_STEP_PART = 0.25
+# A move applied after the time of its second step would begin with a larger
+# share than that of the first.
+FIRST_STEP_PART = schedule.STEP_AT[1]
 TIME_MAX_S = 1e11
 
 
@@ -113,11 +109,11 @@
             f"{path}.deadline_s",
             f"must be after start_s, is {-length_s:.0f} s before it",
         )
-    elif left_s < MOVE_MIN_S:
+    elif left_s < schedule.MIN_MOVE_S:
         yield problem.Problem(
             f"{path}.deadline_s",
-            f"must leave at least {MOVE_MIN_S:.0f} s for the steps of the"
-            f" move, leaves {left_s:.0f} s",
+            f"must leave at least {schedule.MIN_MOVE_S:.0f} s for the steps of"
+            f" the move, leaves {left_s:.0f} s",
         )
     elif length_s > MOVE_MAX_S:
         yield problem.Problem(
@@ -128,7 +124,7 @@
     elif now_s - item.start_s > FIRST_STEP_PART * length_s:
         yield problem.Problem(
             f"{path}.start_s",
-            "must be at most a quarter of the move's time"
+            f"must be at most {FIRST_STEP_PART:.0%} of the move's time"
             f" ({FIRST_STEP_PART * length_s:.0f} s) ago, so that the move"
             f" begins with its first step, is {now_s - item.start_s:.0f} s ago",
         )
--- a/src/bramleyworks/document/rules/route_rules.py
+++ b/src/bramleyworks/document/rules/route_rules.py
@@ -17,7 +17,11 @@
     """Yields the problems of all routes."""
     routes = context.doc.routes
     yield from field_rules.unique(
-        ((f"routes[{i}].prefix", item.prefix) for i, item in enumerate(routes)),
+        (
+            # The router matches whole segments and ignores a last slash.
+            (f"routes[{i}].prefix", item.prefix.rstrip("/") or "/")
+            for i, item in enumerate(routes)
+        ),
         "the prefix of a route",
     )
     for i, item in enumerate(routes):
--- a/src/bramleyworks/platform/config_writer.py
+++ b/src/bramleyworks/platform/config_writer.py
@@ -1,7 +1,6 @@
 """Writing a new document to the store."""
 
 import asyncio
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -20,6 +19,7 @@
 from bramleyworks.platform import apply_errors
 from bramleyworks.platform import store
 from bramleyworks.platform import store_entry
+from bramleyworks.policy import move_record
 
 MOVES_KEY = "moves"
 READ_TRIES = 6
@@ -205,8 +205,8 @@
         apply_errors.OutcomeUnknownError(
             peer,
             f"the write of version {made.version} may have taken effect"
-            f" ({last}); look for apply id {made.apply_id} in the history"
-            " before applying again",
+            f" ({last}); check with 'bramleyworks audit --apply-id"
+            f" {made.apply_id}' before applying again",
             made.apply_id,
         )
     )
@@ -260,14 +260,16 @@
     """Reads the ids of all moves that the move driver has recorded."""
     try:
         entry = await source.get(MOVES_KEY)
-        recorded = json.loads(entry.value) if entry else {}
-        if not isinstance(recorded, dict):
-            raise ValueError("the value is not a JSON object")
     except errors.StoreError as exc:
         return result.Err(exc)
-    except (ValueError, RecursionError) as exc:
-        return result.Err(errors.DocumentError("moves.decode", peer, str(exc)))
-    return result.Ok(frozenset(recorded))
+    records = move_record.decode_all(entry.value) if entry else {}
+    if records is None:
+        return result.Err(
+            errors.DocumentError(
+                "moves.decode", peer, "the recorded moves are malformed"
+            )
+        )
+    return result.Ok(frozenset(records))
 
 
 def _check_move_ids(
--- /dev/null
+++ b/src/bramleyworks/platform/daemon_status.py
@@ -0,0 +1,110 @@
+"""What one daemon reports of itself."""
+
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+import result
+
+from bramleyworks import errors
+
+STATUS_TIMEOUT_S = 3.0
+STATUS_MAX_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class DaemonStatus:
+    """The answer of a daemon to ``GET /-/status``.
+
+    Attributes:
+        address: Address that was asked, ``HOST:PORT``.
+        vm: Name of its VM.
+        config_version: Configuration version it has in force, 0 for none.
+        members: Configuration versions of the members it hears, by VM.
+        listed: VMs on the platform's list, None if it has not read it.
+    """
+
+    address: str
+    vm: str
+    config_version: int
+    members: dict[str, int]
+    listed: frozenset[str] | None
+
+
+async def fetch(
+    session: aiohttp.ClientSession, address: str
+) -> result.Result[DaemonStatus, errors.PlatformError]:
+    """Asks one daemon for its status.
+
+    Args:
+        session: HTTP client with a time limit of ``STATUS_TIMEOUT_S``.
+        address: ``HOST:PORT`` of the daemon's HTTP interface.
+    """
+    step = "daemon.status"
+    try:
+        async with session.get(f"http://{address}/-/status") as resp:
+            if resp.status != 200:
+                return result.Err(
+                    errors.PlatformError(
+                        step, address, f"answered with status {resp.status}"
+                    )
+                )
+            data = await resp.content.read(STATUS_MAX_BYTES)
+            while not resp.content.at_eof() and len(data) < STATUS_MAX_BYTES:
+                data += await resp.content.read(STATUS_MAX_BYTES - len(data))
+    except TimeoutError:
+        return result.Err(
+            errors.PlatformError(
+                step, address, f"no answer within {STATUS_TIMEOUT_S:g} s"
+            )
+        )
+    except (aiohttp.ClientError, ValueError, OSError) as exc:
+        return result.Err(errors.PlatformError(step, address, str(exc)))
+    return parse(data, address)
+
+
+def parse(
+    data: bytes, address: str
+) -> result.Result[DaemonStatus, errors.PlatformError]:
+    """Decodes a status; fields that this tool does not use are ignored."""
+    try:
+        value = json.loads(data)
+        return result.Ok(
+            DaemonStatus(
+                address=address,
+                vm=_typed(value["vm"], str),
+                config_version=_typed(value["config_version"], int),
+                members=_members(value.get("members") or {}),
+                listed=_names(value.get("listed")),
+            )
+        )
+    except (ValueError, LookupError, TypeError, RecursionError) as exc:
+        return result.Err(
+            errors.PlatformError(
+                "daemon.status", address, f"malformed status: {exc!r}"
+            )
+        )
+
+
+def _typed(value: Any, kind: type) -> Any:
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise TypeError(f"expected {kind.__name__}")
+    return value
+
+
+def _names(value: Any) -> frozenset[str] | None:
+    if value is None:
+        return None
+    if not isinstance(value, list):
+        raise TypeError("expected a list of VM names")
+    return frozenset(_typed(name, str) for name in value)
+
+
+def _members(value: Any) -> dict[str, int]:
+    if not isinstance(value, dict):
+        raise TypeError("expected members by VM name")
+    return {
+        _typed(name, str): _typed(item["config_version"], int)
+        for name, item in value.items()
+    }
--- /dev/null
+++ b/src/bramleyworks/platform/fleet_status.py
@@ -0,0 +1,135 @@
+"""What the store and the daemons say is in force."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Any
+
+from bramleyworks import errors
+from bramleyworks.document import stored_config
+from bramleyworks.platform import acceptance
+from bramleyworks.platform import config_writer
+from bramleyworks.platform import daemon_status
+from bramleyworks.platform import store
+from bramleyworks.policy import move_record
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveStatus:
+    """A version move and the verdict that its driver recorded.
+
+    Attributes:
+        move_id: Id of the move.
+        verdict: ``waiting`` (no record), ``running``, ``done`` or ``undone``.
+        share_ppm: Share of the new version in millionths.
+        reason: Why, empty if there is no reason.
+    """
+
+    move_id: str
+    verdict: str
+    share_ppm: int
+    reason: str
+
+    def __str__(self) -> str:
+        text = f"{self.move_id}: {self.verdict}, share {self.share_ppm / 1e4}%"
+        return text + (f", {self.reason}" if self.reason else "")
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetStatus:
+    """The state of a deployment as far as it could be read.
+
+    Attributes:
+        store_read: Whether the store answered.
+        stored: The configuration in the store.
+        moves: Moves in the configuration with their verdicts.
+        daemons: Daemons that answered.
+        acceptance: How far the stored version has come.
+        failures: What could not be read.
+    """
+
+    store_read: bool
+    stored: stored_config.StoredConfig | None
+    moves: tuple[MoveStatus, ...]
+    daemons: tuple[daemon_status.DaemonStatus, ...]
+    acceptance: acceptance.Acceptance | None
+    failures: tuple[errors.BramleyworksError, ...]
+
+
+async def collect(
+    source: store.Store, daemons: Sequence[str], peer: str
+) -> FleetStatus:
+    """Reads the store once and asks each daemon once."""
+    failures: list[errors.BramleyworksError] = []
+    stored, moves = None, ()
+    answer = await config_writer.read(source, peer)
+    if answer.is_err():
+        failures.append(answer.unwrap_err())
+    else:
+        stored, _ = answer.unwrap()
+    if stored and stored.doc.moves:
+        try:
+            entry = await source.get(config_writer.MOVES_KEY)
+            moves = _moves(stored, entry.value if entry else b"{}")
+        except errors.StoreError as exc:
+            failures.append(exc)
+    answers = await acceptance.ask(daemons) if daemons else []
+    judged = None
+    if stored and answers:
+        judged = acceptance.judge(stored.version, answers)
+    return FleetStatus(
+        store_read=answer.is_ok(),
+        stored=stored,
+        moves=moves,
+        daemons=tuple(item.unwrap() for item in answers if item.is_ok()),
+        acceptance=judged,
+        failures=(
+            *failures,
+            *(item.unwrap_err() for item in answers if item.is_err()),
+        ),
+    )
+
+
+def as_dict(found: FleetStatus) -> dict[str, Any]:
+    """Returns the status as JSON-like values."""
+    stored, judged = found.stored, found.acceptance
+    return {
+        "config": stored
+        and {
+            "version": stored.version,
+            "author": stored.author,
+            "time_s": stored.time_s,
+            "apply_id": stored.apply_id,
+        },
+        "moves": [dataclasses.asdict(item) for item in found.moves],
+        "daemons": [
+            {
+                "address": item.address,
+                "vm": item.vm,
+                "config_version": item.config_version,
+                "members": item.members,
+                "listed": item.listed and sorted(item.listed),
+            }
+            for item in found.daemons
+        ],
+        "accepted": judged and judged.accepted,
+        "missing": judged and list(judged.missing),
+        "failures": [
+            {"step": exc.step, "peer": exc.peer, "reason": exc.reason}
+            for exc in found.failures
+        ],
+    }
+
+
+def _moves(
+    stored: stored_config.StoredConfig, data: bytes
+) -> tuple[MoveStatus, ...]:
+    records = move_record.decode_all(data) or {}
+    return tuple(
+        _move(item.id, records.get(item.id)) for item in stored.doc.moves
+    )
+
+
+def _move(move_id: str, record: move_record.MoveRecord | None) -> MoveStatus:
+    if record is None:
+        return MoveStatus(move_id, "waiting", 0, "")
+    return MoveStatus(move_id, record.verdict, record.share_ppm, record.reason)
--- a/tests/document/test_validation.py
+++ b/tests/document/test_validation.py
@@ -34,6 +34,7 @@
     "service_version": [(("services", 0, "version"), "")],
     "request_time": [(("services", 0, "max_request_s"), 601)],
     "route_twice": [(("routes", 1, "prefix"), "/desk")],
+    "route_twice_but_for_a_slash": [(("routes", 1, "prefix"), "/desk/")],
     "route_reserved": [((*ROUTE, "prefix"), "/v1/entry")],
     "route_reserved_exactly": [((*ROUTE, "prefix"), "/-")],
     "route_not_a_path": [((*ROUTE, "prefix"), "desk?x=1")],
@@ -77,7 +78,7 @@
     "block_region": [(("client_blocks", 0, "region"), "norte")],
     "move_past": [(("moves",), [sample_document.move(deadline_s=NOW_S - 5)])],
     "move_order": [(("moves",), [sample_document.move(start_s=NOW_S + 900)])],
-    "move_short": [(("moves",), [sample_document.move(deadline_s=NOW_S + 59)])],
+    "move_short": [(("moves",), [sample_document.move(deadline_s=NOW_S + 99)])],
     "move_long": [(("moves",), [sample_document.move(deadline_s=NOW_S + 3e6)])],
     "move_late_start": [
         (("moves",), [sample_document.move(start_s=NOW_S - 300)])
--- a/tests/platform/test_config_writer.py
+++ b/tests/platform/test_config_writer.py
@@ -13,6 +13,7 @@
 from bramleyworks.document import stored_config
 from bramleyworks.platform import apply_errors
 from bramleyworks.platform import config_writer
+from bramleyworks.policy import move_record
 
 NOW_S = sample_document.NOW_S
 
@@ -172,7 +173,8 @@
 
 
 async def test_a_move_id_recorded_by_the_driver_is_not_reused(store):
-    await store.put("moves", b'{"m1": {}}', 0)
+    record = move_record.MoveRecord(1, 0, 0, "undone", "fault", NOW_S)
+    await store.put("moves", move_record.encode_all({"m1": record}), 0)
     edits = [(("moves",), [sample_document.move()])]
     exc = (await _apply(store, 0, edits=edits)).unwrap_err()
     assert [item.path for item in exc.problems] == ["moves[0].id"]
