Add the operators' console

Cause: operators edit the document through forms as well as files. Change: a starlette application with server-rendered pages for each list of the document, keys, review, status and audit; no script. The draft stays in the process per signed session cookie. Conclusion: pages were checked as HTML only; no browser is installed.

--- /dev/null
+++ b/src/bramleyworks/console/console_app.py
@@ -0,0 +1,136 @@
+"""The console as an ASGI application."""
+
+import contextlib
+import secrets
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+
+from starlette import applications
+from starlette import exceptions
+from starlette import middleware
+from starlette import requests
+from starlette import responses
+from starlette import routing
+from starlette.middleware import sessions
+
+from bramleyworks import errors
+from bramleyworks.console import console_state
+from bramleyworks.console import draft_views
+from bramleyworks.console import drafts
+from bramleyworks.console import pages
+from bramleyworks.console import request_guard
+from bramleyworks.console import review_views
+from bramleyworks.console import status_views
+from bramleyworks.platform import store
+
+SESSION_S = 12 * 3600
+
+Opener = Callable[[], AbstractAsyncContextManager[store.Store]]
+
+
+def build(
+    opener: Opener, peer: str, daemons: tuple[str, ...], author: str
+) -> applications.Starlette:
+    """Builds the application.
+
+    Args:
+        opener: Opens the store; it is closed when the application ends.
+        peer: Name of the store in errors.
+        daemons: Addresses of daemons to ask for their status.
+        author: Suggested name of the operator.
+    """
+
+    @contextlib.asynccontextmanager
+    async def lifespan(app):
+        async with opener() as source:
+            app.state.console = console_state.ConsoleState(
+                source, peer, daemons, author, drafts.Drafts()
+            )
+            yield
+
+    return applications.Starlette(
+        routes=_routes(),
+        lifespan=lifespan,
+        middleware=[
+            middleware.Middleware(request_guard.HeaderMiddleware),
+            middleware.Middleware(
+                sessions.SessionMiddleware,
+                # Drafts live in this process, so sessions need not outlive it.
+                secret_key=secrets.token_urlsafe(32),
+                session_cookie="bramleyworks_console",
+                max_age=SESSION_S,
+                same_site="strict",
+            ),
+        ],
+        exception_handlers={
+            exceptions.HTTPException: _refused,
+            errors.BramleyworksError: _failed,
+        },
+    )
+
+
+def _routes() -> list[routing.Route]:
+    items = "/draft/{section}/{index:int}"
+    table = (
+        ("GET", "/", _home),
+        ("GET", "/style.css", _style),
+        ("GET", "/draft", draft_views.overview),
+        ("GET", "/draft.json", draft_views.export),
+        ("POST", "/draft/discard", draft_views.discard),
+        ("GET", "/draft/{section}", draft_views.list_items),
+        ("GET", "/draft/{section}/new", draft_views.show_item),
+        ("POST", "/draft/{section}/new", draft_views.save_item),
+        ("GET", items, draft_views.show_item),
+        ("POST", items, draft_views.save_item),
+        ("POST", f"{items}/delete", draft_views.delete_item),
+        ("POST", "/draft/organisations/{index:int}/keys", draft_views.add_key),
+        (
+            "POST",
+            "/draft/organisations/{index:int}/keys/{position:int}/withdraw",
+            draft_views.withdraw_key,
+        ),
+        ("GET", "/review", review_views.review),
+        ("POST", "/review", review_views.apply),
+        ("GET", "/status", status_views.status),
+        ("GET", "/audit", status_views.audit),
+    )
+    return [
+        routing.Route(path, _checked(view), methods=[method])
+        for method, path, view in table
+    ]
+
+
+def _checked(view):
+    async def checked(request: requests.Request) -> responses.Response:
+        request_guard.check_host(request)
+        return await view(request)
+
+    return checked
+
+
+async def _home(request: requests.Request) -> responses.Response:
+    return responses.RedirectResponse("/status", 303)
+
+
+async def _style(request: requests.Request) -> responses.Response:
+    return responses.Response(pages.STYLE, media_type="text/css")
+
+
+async def _refused(request: requests.Request, exc) -> responses.Response:
+    return pages.render(
+        request,
+        "message.html",
+        exc.status_code,
+        title="Refused" if exc.status_code != 404 else "Not found",
+        text=exc.detail,
+    )
+
+
+async def _failed(request: requests.Request, exc) -> responses.Response:
+    return pages.render(
+        request,
+        "message.html",
+        503,
+        title="The platform did not answer",
+        text=str(exc),
+    )
--- /dev/null
+++ b/src/bramleyworks/console/draft_views.py
@@ -0,0 +1,288 @@
+"""Pages that edit the draft."""
+
+import time
+from typing import Any
+
+from starlette import datastructures
+from starlette import exceptions
+from starlette import requests
+from starlette import responses
+
+from bramleyworks.console import console_state
+from bramleyworks.console import draft
+from bramleyworks.console import item_form
+from bramleyworks.console import pages
+from bramleyworks.console import request_guard
+from bramleyworks.console import section
+from bramleyworks.console import sections
+from bramleyworks.document import codec
+from bramleyworks.document import item_identity
+from bramleyworks.document import key
+from bramleyworks.document import new_key
+from bramleyworks.document import validation
+
+ROWS_MAX = 200
+
+
+async def overview(request: requests.Request) -> responses.Response:
+    """Shows the draft's sections and their problems."""
+    current = await console_state.open_draft(request)
+    return pages.render(
+        request,
+        "overview.html",
+        current=current,
+        problems=_problems(current),
+        counts={
+            name: len(getattr(current.doc, name)) for name in sections.BY_NAME
+        },
+    )
+
+
+async def export(request: requests.Request) -> responses.Response:
+    """Sends the draft as a file for ``bramleyworks apply``."""
+    current = await console_state.open_draft(request)
+    return responses.Response(
+        codec.encode(current.doc),
+        media_type="application/json",
+        headers={"content-disposition": 'attachment; filename="draft.json"'},
+    )
+
+
+async def discard(request: requests.Request) -> responses.Response:
+    """Drops the draft."""
+    await request_guard.read_form(request)
+    console_state.of(request).drafts.drop(request_guard.session_id(request))
+    return responses.RedirectResponse("/draft", 303)
+
+
+async def list_items(request: requests.Request) -> responses.Response:
+    """Shows the items of a section."""
+    part = _section(request)
+    current = await console_state.open_draft(request)
+    wanted = request.query_params.get("q", "").strip()
+    items = [
+        (i, item_identity.of(item), item_form.show(part, item))
+        for i, item in enumerate(getattr(current.doc, part.name))
+    ]
+    found = [
+        row
+        for row in items
+        if not wanted or wanted in row[1] or wanted in str(row[2])
+    ]
+    bad = {problem.path.partition(".")[0] for problem in _problems(current)}
+    return pages.render(
+        request,
+        "section.html",
+        current=current,
+        part=part,
+        rows=found[:ROWS_MAX],
+        found=len(found),
+        total=len(items),
+        wanted=wanted,
+        bad={i for i, _, _ in found if f"{part.name}[{i}]" in bad},
+    )
+
+
+async def show_item(request: requests.Request) -> responses.Response:
+    """Shows the form of an item, or an empty one."""
+    part = _section(request)
+    current = await console_state.open_draft(request)
+    index, item = _item(request, part, current)
+    return _form(request, part, current, index, item)
+
+
+async def save_item(request: requests.Request) -> responses.Response:
+    """Puts a form into the draft.
+
+    Ill-typed fields are shown again and change nothing. Values that break a
+    rule are kept, because another edit may be what makes them valid; the rule
+    is shown beside the field and the review refuses the draft.
+    """
+    form = await request_guard.read_form(request)
+    part = _section(request)
+    current = await console_state.open_draft(request)
+    index, item = _item(request, part, current)
+    _check_identity(form, item)
+    parsed = item_form.parse(part, form, item)
+    if parsed.item is None:
+        return _form(
+            request,
+            part,
+            current,
+            index,
+            item,
+            parsed,
+            notice="Nothing was saved; correct the marked fields.",
+            status=422,
+        )
+    current = current.with_item(part.name, index, parsed.item)
+    console_state.save_draft(request, current)
+    if _item_problems(current, part, index):
+        return _form(
+            request,
+            part,
+            current,
+            index,
+            parsed.item,
+            notice="Saved in the draft. The marked fields break a rule and"
+            " must be corrected before the draft can be applied.",
+        )
+    target = f"/draft/{part.name}"
+    if part.name == "organisations":
+        target = f"{target}/{index}"
+    return responses.RedirectResponse(target, 303)
+
+
+async def delete_item(request: requests.Request) -> responses.Response:
+    """Removes an item from the draft."""
+    form = await request_guard.read_form(request)
+    part = _section(request)
+    current = await console_state.open_draft(request)
+    index, item = _item(request, part, current)
+    _check_identity(form, item)
+    if item is not None:
+        console_state.save_draft(
+            request, current.without_item(part.name, index)
+        )
+    return responses.RedirectResponse(f"/draft/{part.name}", 303)
+
+
+async def add_key(request: requests.Request) -> responses.Response:
+    """Makes a key for an organisation and shows it this once."""
+    form = await request_guard.read_form(request)
+    part = sections.BY_NAME["organisations"]
+    current = await console_state.open_draft(request)
+    index, item = _item(request, part, current)
+    _check_identity(form, item)
+    key_id = str(form.get("key_id", "")).strip()
+    made = new_key.make()
+    position = len(item.keys)
+    # The draft is changed only if the id is valid, so that sending the form
+    # again does not make a second key under the same id.
+    changed = current.with_keys(
+        index, (*item.keys, key.Key(key_id, made.digest))
+    )
+    path = f"organisations[{index}].keys[{position}].id"
+    for problem in _problems(changed):
+        if problem.path == path:
+            return _form(
+                request,
+                part,
+                current,
+                index,
+                item,
+                notice="No key was made.",
+                key_error=problem.rule,
+                status=422,
+            )
+    console_state.save_draft(request, changed)
+    return pages.render(
+        request,
+        "new_key.html",
+        current=changed,
+        organisation=item.name,
+        index=index,
+        key_id=key_id,
+        made=made,
+    )
+
+
+async def withdraw_key(request: requests.Request) -> responses.Response:
+    """Removes a key from an organisation in the draft."""
+    form = await request_guard.read_form(request)
+    part = sections.BY_NAME["organisations"]
+    current = await console_state.open_draft(request)
+    index, item = _item(request, part, current)
+    _check_identity(form, item)
+    position = int(request.path_params["position"])
+    if (
+        position >= len(item.keys)
+        or str(form.get("key_id", "")) != item.keys[position].id
+    ):
+        raise exceptions.HTTPException(409, "the draft changed; look again")
+    keys = item.keys[:position] + item.keys[position + 1 :]
+    console_state.save_draft(request, current.with_keys(index, keys))
+    return responses.RedirectResponse(f"/draft/organisations/{index}", 303)
+
+
+def _section(request: requests.Request) -> section.Section:
+    part = sections.BY_NAME.get(request.path_params["section"])
+    if part is None:
+        raise exceptions.HTTPException(404, "there is no such section")
+    return part
+
+
+def _item(
+    request: requests.Request, part: section.Section, current: draft.Draft
+) -> tuple[int, Any]:
+    """Returns the index and the item of the path; None for a new item."""
+    items = getattr(current.doc, part.name)
+    index = request.path_params.get("index")
+    if index is None:
+        return len(items), None
+    if index >= len(items):
+        raise exceptions.HTTPException(404, f"there is no such {part.one}")
+    return index, items[index]
+
+
+def _check_identity(form: datastructures.FormData, item: Any) -> None:
+    """Refuses a form made for another item, for example in another tab."""
+    expected = item_identity.of(item) if item is not None else ""
+    if str(form.get("identity", "")) != expected:
+        raise exceptions.HTTPException(
+            409, "the draft changed since this form was opened; look again"
+        )
+
+
+def _problems(current: draft.Draft):
+    return validation.check(current.doc, time.time(), current.base)
+
+
+def _item_problems(
+    current: draft.Draft, part: section.Section, index: int
+) -> dict[str, list[str]]:
+    """Returns the broken rules of an item by field, ``""`` for the item."""
+    prefix = f"{part.name}[{index}]"
+    found: dict[str, list[str]] = {}
+    for problem in _problems(current):
+        if problem.path == prefix:
+            found.setdefault("", []).append(problem.rule)
+        elif problem.path.startswith(f"{prefix}."):
+            field = problem.path[len(prefix) + 1 :]
+            name = field.partition("[")[0]
+            if name == "keys":
+                name = field.partition("]")[0] + "]"
+            found.setdefault(name, []).append(problem.rule)
+    return found
+
+
+def _form(
+    request,
+    part,
+    current,
+    index,
+    item,
+    parsed=None,
+    *,
+    notice="",
+    key_error="",
+    status=200,
+):
+    errors = _item_problems(current, part, index) if item is not None else {}
+    if parsed is not None:
+        errors = {name: [text] for name, text in parsed.errors.items()}
+    return pages.render(
+        request,
+        "item.html",
+        status,
+        current=current,
+        part=part,
+        index=index,
+        item=item,
+        identity=item_identity.of(item) if item is not None else "",
+        shown=parsed.shown if parsed else item_form.show(part, item),
+        errors=errors,
+        options={spec.name: spec.options(current.doc) for spec in part.fields},
+        notice=notice,
+        key_error=key_error,
+    )
--- /dev/null
+++ b/src/bramleyworks/console/pages.py
@@ -0,0 +1,52 @@
+"""Rendering of pages."""
+
+import pathlib
+from typing import Any
+
+import jinja2
+from starlette import requests
+from starlette import responses
+
+from bramleyworks.console import draft
+from bramleyworks.console import request_guard
+from bramleyworks.console import sections
+from bramleyworks.document import diff
+from bramleyworks.document import utc_time
+
+_TEMPLATES = pathlib.Path(__file__).parent / "templates"
+_ENVIRONMENT = jinja2.Environment(
+    loader=jinja2.FileSystemLoader(_TEMPLATES),
+    autoescape=True,
+    undefined=jinja2.StrictUndefined,
+    trim_blocks=True,
+    lstrip_blocks=True,
+)
+_ENVIRONMENT.filters["time"] = utc_time.show
+STYLE = (_TEMPLATES / "style.css").read_text("utf-8")
+
+
+def render(
+    request: requests.Request,
+    name: str,
+    status: int = 200,
+    current: draft.Draft | None = None,
+    **values: Any,
+) -> responses.HTMLResponse:
+    """Renders a template.
+
+    Args:
+        request: The request that is answered.
+        name: File name of the template.
+        status: HTTP status.
+        current: Draft to show in the heading.
+        values: Further values for the template.
+    """
+    text = _ENVIRONMENT.get_template(name).render(
+        token=request_guard.token(request),
+        sections=sections.BY_NAME.values(),
+        path=request.url.path,
+        draft=current,
+        changes=diff.changes(current.base, current.doc) if current else (),
+        **values,
+    )
+    return responses.HTMLResponse(text, status)
--- /dev/null
+++ b/src/bramleyworks/console/review_views.py
@@ -0,0 +1,130 @@
+"""Pages that review and apply the draft."""
+
+import functools
+import secrets
+import time
+
+from starlette import requests
+from starlette import responses
+
+from bramleyworks import errors
+from bramleyworks.console import console_state
+from bramleyworks.console import draft
+from bramleyworks.console import pages
+from bramleyworks.console import request_guard
+from bramleyworks.document import review_warnings
+from bramleyworks.document import validation
+from bramleyworks.platform import apply_errors
+from bramleyworks.platform import config_writer
+
+
+async def review(request: requests.Request) -> responses.Response:
+    """Shows the difference from what is in force, problems and warnings."""
+    current = await console_state.open_draft(request)
+    return await _page(request, current)
+
+
+async def apply(request: requests.Request) -> responses.Response:
+    """Applies the draft that was reviewed."""
+    form = await request_guard.read_form(request)
+    state = console_state.of(request)
+    session = request_guard.session_id(request)
+    current = await console_state.open_draft(request)
+    if str(form.get("digest", "")) != current.digest:
+        return await _page(
+            request,
+            current,
+            notice="The draft changed since this review. Nothing was applied.",
+            status=409,
+        )
+    if session in state.applying:
+        return await _page(
+            request, current, notice="An apply is in progress.", status=409
+        )
+    apply_id = secrets.token_hex(16)
+    state.applying.add(session)
+    try:
+        written = await config_writer.apply(
+            state.store,
+            current.doc,
+            current.base_version,
+            str(form.get("author", "")).strip(),
+            time.time(),
+            apply_id,
+            peer=state.peer,
+        )
+    finally:
+        state.applying.discard(session)
+    if written.is_err():
+        return await _failed(written.unwrap_err(), request, current)
+    state.drafts.drop(session)
+    return responses.RedirectResponse(
+        f"/status?written={written.unwrap().version}", 303
+    )
+
+
+@functools.singledispatch
+async def _failed(exc, request, current) -> responses.Response:
+    return await _page(request, current, error=exc, status=503)
+
+
+@_failed.register
+async def _(exc: apply_errors.StaleBaseError, request, current):
+    return await _page(
+        request, current, error=exc, entries=exc.entries, status=409
+    )
+
+
+@_failed.register
+async def _(exc: apply_errors.InvalidDocumentError, request, current):
+    return await _page(
+        request, current, error=exc, problems=exc.problems, status=422
+    )
+
+
+@_failed.register
+async def _(exc: apply_errors.OutcomeUnknownError, request, current):
+    return await _page(
+        request, current, error=exc, apply_id=exc.apply_id, status=502
+    )
+
+
+async def _page(
+    request: requests.Request,
+    current: draft.Draft,
+    *,
+    notice: str = "",
+    error: errors.BramleyworksError | None = None,
+    problems=None,
+    entries=(),
+    apply_id: str = "",
+    status: int = 200,
+) -> responses.Response:
+    state = console_state.of(request)
+    answer = await config_writer.read(state.store, state.peer)
+    in_force = None
+    if answer.is_ok():
+        stored, _ = answer.unwrap()
+        in_force = stored.version if stored else 0
+        if in_force != current.base_version and stored and not entries:
+            entries = tuple(
+                entry
+                for entry in stored.history
+                if entry.version > current.base_version
+            )
+    if problems is None:
+        problems = validation.check(current.doc, time.time(), current.base)
+    return pages.render(
+        request,
+        "review.html",
+        status,
+        current=current,
+        problems=problems,
+        warnings=review_warnings.find(current.base, current.doc),
+        in_force=in_force,
+        entries=entries,
+        notice=notice,
+        error=error,
+        apply_id=apply_id,
+        author=state.author,
+    )
--- /dev/null
+++ b/src/bramleyworks/console/status_views.py
@@ -0,0 +1,52 @@
+"""Pages that show what is in force and what happened."""
+
+from starlette import requests
+from starlette import responses
+
+from bramleyworks import errors
+from bramleyworks.console import console_state
+from bramleyworks.console import pages
+from bramleyworks.platform import audit_view
+from bramleyworks.platform import config_writer
+from bramleyworks.platform import fleet_status
+
+ENTRIES_MAX = 300
+
+
+async def status(request: requests.Request) -> responses.Response:
+    """Shows the configuration, the version moves and the daemons."""
+    state = console_state.of(request)
+    found = await fleet_status.collect(state.store, state.daemons, state.peer)
+    written = request.query_params.get("written", "")
+    return pages.render(
+        request,
+        "status.html",
+        found=found,
+        asked=len(state.daemons),
+        written=written if written.isdecimal() else "",
+    )
+
+
+async def audit(request: requests.Request) -> responses.Response:
+    """Shows the newest audit entries and configuration changes."""
+    state = console_state.of(request)
+    wanted = request.query_params.get("q", "").strip()
+    answer = await config_writer.read(state.store, state.peer)
+    if answer.is_err():
+        raise answer.unwrap_err()
+    stored, _ = answer.unwrap()
+    failure = None
+    try:
+        entries = await audit_view.read(state.store, stored)
+    except errors.StoreError as exc:
+        failure = exc
+        entries = audit_view.merge((), stored)
+    found = [entry for entry in reversed(entries) if wanted in str(entry)]
+    return pages.render(
+        request,
+        "audit.html",
+        entries=found[:ENTRIES_MAX],
+        found=len(found),
+        failure=failure,
+        wanted=wanted,
+    )
