--- /dev/null
+++ b/src/bramleyworks/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the operators' tool."""
+
+from bramleyworks.cli import main
+
+main.main()
--- /dev/null
+++ b/src/bramleyworks/cli/audit_command.py
@@ -0,0 +1,52 @@
+"""The command that shows past events."""
+
+import asyncio
+
+import click
+
+from bramleyworks.cli import exit_code
+from bramleyworks.cli import options
+from bramleyworks.cli import report
+from bramleyworks.cli import store_opening
+from bramleyworks.document import utc_time
+from bramleyworks.platform import audit_view
+from bramleyworks.platform import config_writer
+
+
+@click.command()
+@click.option(
+    "--limit",
+    type=click.IntRange(min=1),
+    default=100,
+    show_default=True,
+    help="Newest entries to print.",
+)
+@click.option("--apply-id", help="Only tell whether this apply was written.")
+@options.connection
+@click.pass_context
+def audit(ctx, settings, limit, apply_id):
+    """Prints the audit trail and the configuration changes, oldest first."""
+    url = options.require_store(settings)
+    stored, entries = asyncio.run(_read(url, with_trail=apply_id is None))
+    if apply_id is not None:
+        entry = config_writer.find(stored, apply_id) if stored else None
+        if entry is None:
+            click.echo(f"apply id {apply_id} is not in the history")
+            ctx.exit(exit_code.ExitCode.UNKNOWN)
+        click.echo(report.history(entry))
+        return
+    for entry in entries[-limit:]:
+        click.echo(
+            f"{utc_time.show(entry.time_s)} {entry.vm} {entry.kind}"
+            f" {entry.subject}: {entry.cause}"
+        )
+
+
+async def _read(url, with_trail):
+    async with store_opening.open_store(url) as source:
+        answer = await config_writer.read(source, url)
+        if answer.is_err():
+            raise answer.unwrap_err()
+        stored, _ = answer.unwrap()
+        entries = await audit_view.read(source, stored) if with_trail else []
+    return stored, entries
--- /dev/null
+++ b/src/bramleyworks/cli/diff_command.py
@@ -0,0 +1,40 @@
+"""The command that compares a document with the one in force."""
+
+import asyncio
+
+import click
+
+from bramleyworks.cli import document_file
+from bramleyworks.cli import options
+from bramleyworks.cli import report
+from bramleyworks.cli import store_opening
+from bramleyworks.document import diff as document_diff
+from bramleyworks.document import document
+from bramleyworks.document import review_warnings
+from bramleyworks.platform import config_writer
+
+
+@click.command()
+@click.argument("file")
+@options.connection
+def diff(settings, file):
+    """Prints what FILE would change and the base version for apply."""
+    doc = document_file.load(file)
+    url = options.require_store(settings)
+    stored, _ = asyncio.run(_read(url))
+    old = stored.doc if stored else document.Document()
+    click.echo(f"base version {stored.version if stored else 0}")
+    changes = document_diff.changes(old, doc)
+    report.changes(changes)
+    if not changes:
+        click.echo("no change")
+    for text in review_warnings.find(old, doc):
+        click.echo(f"warning: {text}", err=True)
+
+
+async def _read(url):
+    async with store_opening.open_store(url) as source:
+        answer = await config_writer.read(source, url)
+    if answer.is_err():
+        raise answer.unwrap_err()
+    return answer.unwrap()
