Add the model of both deployments with real tasks and naive VMs

Cause: the policy under load and faults has no experiment yet. Change: deployments, scenarios, callers, store, network, servers, observer and figures on a virtual clock; heartbeats are built in one place for daemon and model.

--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -14,6 +14,7 @@
 from bramleyworks.daemon import config_task
 from bramleyworks.daemon import forwarder
 from bramleyworks.daemon import front
+from bramleyworks.daemon import heartbeat_builder
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import ledger_task
 from bramleyworks.daemon import limit_task
@@ -32,7 +33,6 @@
 from bramleyworks.daemon import ticket_desk
 from bramleyworks.daemon import ticketed
 from bramleyworks.document import stored_config
-from bramleyworks.messages import heartbeat
 from bramleyworks.platform import probe
 from bramleyworks.platform import store_http
 from bramleyworks.platform import vm_list
@@ -53,7 +53,6 @@
     def __init__(self, cfg: settings.Settings):
         self._cfg = cfg
         self._stack = contextlib.AsyncExitStack()
-        self._draining = False
         self._started_s = time.monotonic()
         self.me = identity.Identity(
             vm_id=cfg.vm_id,
@@ -82,9 +81,6 @@
         self._config = config_task.ConfigTask(
             me, self._link, self._kv, self._table
         )
-        self._members = member_task.MemberTask(
-            me, self._link, self._listing, self._table, self, self._cfg.seeds
-        )
         self._ledger = ledger_task.LedgerTask(me, self._kv, self._audit)
         self._limits = limit_task.LimitTask(me, self._link, self._ledger)
         self._slots = slot_task.SlotTask(
@@ -93,6 +89,17 @@
         self._probes = probe_task.ProbeTask(self._prober, self._slots)
         self._moves = move_task.MoveTask(me, self._link, self._kv, self._audit)
         self._desk = ticket_desk.TicketDesk(me, self._link)
+        self._source = heartbeat_builder.HeartbeatBuilder(
+            me, self._config, self._ledger, self._slots, self._moves
+        )
+        self._members = member_task.MemberTask(
+            me,
+            self._link,
+            self._listing,
+            self._table,
+            self._source,
+            self._cfg.seeds,
+        )
 
     def _build_front(self) -> None:
         forward = proxy.Proxy(
@@ -198,7 +205,7 @@
     async def _drain(self) -> None:
         """Ends the work in progress while other VMs take over."""
         logging.info("draining")
-        self._draining = True
+        self._source.draining = True
         started_s = time.monotonic()
         self._members.beat_now()
         self._front.drain()
@@ -220,50 +227,15 @@
     def _idle(self) -> bool:
         return self._front.running == 0 and self._desk.running == 0
 
-    def heartbeat(
-        self, sequence: int, echo: int, echo_hold_s: float
-    ) -> heartbeat.Heartbeat:
-        """Returns the heartbeat to send to one neighbour."""
-        return heartbeat.Heartbeat(
-            vm_id=self.me.vm_id,
-            incarnation=self.me.incarnation,
-            sequence=sequence,
-            region=self.me.region,
-            failure_domain=self.me.failure_domain,
-            http=self.me.http,
-            peer=self.me.peer,
-            config_version=self._config.version,
-            fresh_age_s=self._config.fresh_age_s(),
-            draining=self._draining,
-            ledger_epoch=self._ledger.epoch(),
-            free_slots=self._slots.free_slots(),
-            counts=self._moves.heartbeat_counts(),
-            cuts=self._moves.cuts(),
-            echo=echo,
-            echo_hold_s=echo_hold_s,
-            joined=self._config.joined,
-        )
-
     def _candidates(self) -> list[entry_vm.EntryVm]:
-        view = self._members.view()
-        named = [
-            entry_vm.EntryVm(
-                name,
-                item.beat.http,
-                site.Site(item.beat.region, item.beat.failure_domain),
-            )
-            for name, item in view.live.items()
-            if not item.beat.draining and name not in view.leaving
-        ]
-        if not self._draining and self.me.vm_id not in view.leaving:
-            named.append(
-                entry_vm.EntryVm(
-                    self.me.vm_id,
-                    self.me.http,
-                    site.Site(self.me.region, self.me.failure_domain),
-                )
+        own = None
+        if not self._source.draining:
+            own = entry_vm.EntryVm(
+                self.me.vm_id,
+                self.me.http,
+                site.Site(self.me.region, self.me.failure_domain),
             )
-        return named
+        return entry.candidates(self._members.view(), own)
 
     def _issue(self, key: bytes) -> str | refusal.Refusal:
         table = self._front.table
@@ -296,7 +268,7 @@
             self._slots,
             self._moves,
             self._link,
-            self._draining,
+            self._source.draining,
             time.monotonic() - self._started_s,
         )
 
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from bramleyworks import errors
-from bramleyworks.daemon import heartbeat_source
+from bramleyworks.daemon import heartbeat_builder
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import peer_link
 from bramleyworks.messages import heartbeat
@@ -35,7 +35,7 @@
         link: peer_link.PeerLink,
         listing: vm_list.VmList,
         table: member_table.MemberTable,
-        source: heartbeat_source.HeartbeatSource,
+        source: heartbeat_builder.HeartbeatBuilder,
         seeds: tuple[str, ...],
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
@@ -94,7 +94,7 @@
         for name in self._receivers():
             echo, hold_s = self._table.echo(name, now_s)
             self._link.send(
-                name, self._source.heartbeat(self._sequence, echo, hold_s)
+                name, self._source.build(self._sequence, echo, hold_s)
             )
 
     def _receivers(self) -> set[str]:
@@ -150,9 +150,7 @@
                 continue
             # A listed VM that was never heard of is invited by a heartbeat.
             self._link.connect(item.id, item.peer)
-            self._link.send(
-                item.id, self._source.heartbeat(self._sequence, 0, 0.0)
-            )
+            self._link.send(item.id, self._source.build(self._sequence, 0, 0.0))
 
     def _forget_gone(self) -> None:
         if self._listed is None:
--- a/src/bramleyworks/policy/entry.py
+++ b/src/bramleyworks/policy/entry.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from bramleyworks.policy import entry_vm
+from bramleyworks.policy import fleet_view
 from bramleyworks.policy import site
 
 TTL_S = 5
@@ -12,6 +13,29 @@
 BLOCK_PREFIX_OCTETS = 3
 
 
+def candidates(
+    view: fleet_view.FleetView, own: entry_vm.EntryVm | None
+) -> list[entry_vm.EntryVm]:
+    """Returns the VMs that a look-up may name.
+
+    Args:
+        view: The fleet as this daemon sees it.
+        own: This VM, None while it drains.
+    """
+    found = [
+        entry_vm.EntryVm(
+            name,
+            item.beat.http,
+            site.Site(item.beat.region, item.beat.failure_domain),
+        )
+        for name, item in view.live.items()
+        if not item.beat.draining and name not in view.leaving
+    ]
+    if own is not None and own.vm_id not in view.leaving:
+        found.append(own)
+    return found
+
+
 def choose(
     candidates: Iterable[entry_vm.EntryVm],
     client: str,
--- /dev/null
+++ b/src/bramleyworks_lab/callers.py
@@ -0,0 +1,110 @@
+"""Callers of all organisations."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from bramleyworks.policy import entry
+from bramleyworks_lab import deployment
+from bramleyworks_lab import model_request
+from bramleyworks_lab import model_world
+from bramleyworks_lab import modelled_service
+from bramleyworks_lab import scenario
+
+# Blocks of clients that share a cached look-up, in each region.
+BLOCKS = 40
+# A caller that gets no connection or is told to go elsewhere asks again.
+MAX_TRIES = 3
+CONNECT_FAILED_S = 1.0
+
+
+class Callers:
+    """Sends requests at random times and follows look-ups.
+
+    Attributes:
+        vms: VMs by name; set before ``run``.
+    """
+
+    def __init__(
+        self,
+        world: model_world.ModelWorld,
+        plan: scenario.Scenario,
+        look_up: Callable[[str, str], str | None],
+        rng: random.Random,
+    ):
+        self._world = world
+        self._plan = plan
+        self._look_up = look_up
+        self._rng = rng
+        self._cached: dict[str, tuple[str, float]] = {}
+        self.vms: dict[str, object] = {}
+
+    async def run(self, seconds: float) -> None:
+        """Sends requests for a time and waits for the last answer."""
+        item = self._world.deployment
+        parts = list(deployment.ORGANISATION_PARTS)
+        parts[-1] *= self._plan.heavy
+        rate = item.capacity_per_s() * self._plan.load * sum(parts)
+        names = [f"org{number}" for number in range(len(parts))]
+        weights = [s.capacity_per_s() for s in item.services]
+        end_s = self._world.clock() + seconds
+        running: set[asyncio.Task] = set()
+        while self._world.clock() < end_s:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            service = self._rng.choices(item.services, weights)[0]
+            route = self._rng.choice(modelled_service.ROUTES)
+            req = model_request.ModelRequest(
+                organisation=self._rng.choices(names, parts)[0],
+                service=service.name,
+                route=f"/{service.name}/{route}",
+                region=self._rng.choice(item.regions),
+                started_s=self._world.clock(),
+            )
+            task = asyncio.ensure_future(self._send(req))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        await asyncio.gather(*running)
+
+    async def _send(self, req: model_request.ModelRequest) -> None:
+        world = self._world
+        is_within = world.seen.offer(req, world.clock())
+        client = self._client(req.region)
+        ending: model_request.Ending = "failed"
+        for _ in range(MAX_TRIES):
+            name = self._vm_for(client, req.region)
+            if name is None or name in world.network.dead:
+                await asyncio.sleep(CONNECT_FAILED_S)
+                self._cached.pop(client, None)
+                continue
+            vm = self.vms[name]
+            delay_s = world.deployment.client_s
+            if vm.me.region != req.region:
+                delay_s += world.deployment.region_s
+            await asyncio.sleep(delay_s)
+            ending = await vm.serve(req)
+            await asyncio.sleep(delay_s)
+            if name in world.network.dead:
+                ending = "failed"
+            if ending != "stale":
+                break
+            self._cached.pop(client, None)
+        world.seen.end(req, ending, is_within, world.clock())
+
+    def _client(self, region: str) -> str:
+        number = world_index(self._world, region)
+        return f"10.{number}.{self._rng.randrange(BLOCKS)}.1"
+
+    def _vm_for(self, client: str, region: str) -> str | None:
+        now_s = self._world.clock()
+        known = self._cached.get(client)
+        if known and known[1] > now_s:
+            return known[0]
+        name = self._look_up(client, region)
+        if name is not None:
+            self._cached[client] = (name, now_s + entry.TTL_S)
+        return name
+
+
+def world_index(world: model_world.ModelWorld, region: str) -> int:
+    """Returns the number of a region, as in the client blocks."""
+    return world.deployment.regions.index(region)
--- /dev/null
+++ b/src/bramleyworks_lab/experiment.py
@@ -0,0 +1,268 @@
+"""Plays one scenario of one deployment with one policy and one seed.
+
+Run with ``python -m bramleyworks_lab.experiment``; prints one line of JSON.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+import click
+import msgspec
+from absl import logging
+
+from bramleyworks.daemon import identity
+from bramleyworks.document import codec
+from bramleyworks.document import document
+from bramleyworks.document import drain
+from bramleyworks.document import move
+from bramleyworks.document import stored_config
+from bramleyworks.platform import listed_vm
+from bramleyworks.policy import entry
+from bramleyworks.policy import site
+from bramleyworks_lab import callers
+from bramleyworks_lab import deployment
+from bramleyworks_lab import figures
+from bramleyworks_lab import model_network
+from bramleyworks_lab import model_store
+from bramleyworks_lab import model_upstream
+from bramleyworks_lab import model_vm
+from bramleyworks_lab import model_world
+from bramleyworks_lab import naive_vm
+from bramleyworks_lab import observer
+from bramleyworks_lab import scenario
+from bramleyworks_lab import virtual_loop
+
+# Ledger shares, slot owners and probes settle before requests count.
+SETTLE_S = 12.0
+FAULT_PART = 0.2
+MOVE_MARGIN_S = 2.0
+SAMPLE_S = 0.25
+LIST_LAG_S = 5.0
+STORE_OUT_S = 600.0
+POLICIES = {"ours": model_vm.ModelVm, "naive": naive_vm.NaiveVm}
+
+
+class Experiment:
+    """Builds the world and runs it; use once."""
+
+    def __init__(
+        self,
+        item: deployment.Deployment,
+        plan: scenario.Scenario,
+        policy: str,
+        seed: int,
+    ):
+        self._item = item
+        self._plan = plan
+        self._rng = random.Random(f"{item.name}/{plan.name}/{seed}")
+        self._policy = POLICIES[policy]
+        self._loop = asyncio.get_running_loop()
+        self._doc = self._make_document()
+        self._world = self._make_world()
+        self._vms: dict[str, object] = {}
+        self._running: dict[str, list[asyncio.Task]] = {}
+        self._figures = figures.Figures(self._world, plan, self._start_s)
+
+    @property
+    def _start_s(self) -> float:
+        return self._began_s + SETTLE_S
+
+    def _make_document(self) -> document.Document:
+        self._began_s = self._loop.time()
+        has_move = self._plan.version != "none"
+        doc = deployment.make_document(self._item, has_move)
+        if not has_move:
+            return doc
+        service = self._item.services[0].name
+        planned = move.Move(
+            "move-1",
+            service,
+            deployment.VERSION,
+            deployment.NEXT_VERSION,
+            self._start_s,
+            self._start_s + self._plan.seconds - MOVE_MARGIN_S,
+        )
+        return msgspec.structs.replace(doc, moves=(planned,))
+
+    def _make_world(self) -> model_world.ModelWorld:
+        clock = self._loop.time
+        means = {s.name: s.mean_s for s in self._item.services}
+        return model_world.ModelWorld(
+            deployment=self._item,
+            clock=clock,
+            network=model_network.ModelNetwork(self._item.latency_s),
+            store=model_store.ModelStore(clock),
+            upstreams={
+                spec.name: model_upstream.ModelUpstream(
+                    spec,
+                    means[spec.service],
+                    self._plan,
+                    spec.version == deployment.NEXT_VERSION,
+                    self._start_s,
+                    random.Random(f"{self._rng.random()}"),
+                )
+                for spec in self._doc.upstreams
+            },
+            seen=observer.Observer(self._doc),
+            listed=[],
+            cut=set(),
+            frozen=set(),
+        )
+
+    def _put(self, version: int, doc: document.Document) -> None:
+        stored = stored_config.StoredConfig(
+            version, f"apply-{version}", "lab", self._loop.time(), doc
+        )
+        data = self._world.store.data
+        data.put(
+            stored_config.CONFIG_KEY,
+            codec.encode_stored(stored),
+            data.revision_of(stored_config.CONFIG_KEY),
+        )
+
+    def _start_vms(self) -> None:
+        for number in range(self._item.vms):
+            region = self._item.regions[number % len(self._item.regions)]
+            domain = deployment.domain_of(number)
+            name = f"vm{number}"
+            me = identity.Identity(name, "1", region, domain, name, name)
+            self._world.listed.append(
+                listed_vm.ListedVm(name, region, domain, name, name)
+            )
+            vm = self._policy(
+                self._world, me, random.Random(f"{self._rng.random()}")
+            )
+            self._vms[name] = vm
+            self._running[name] = vm.start()
+
+    async def run(self) -> dict:
+        """Runs to the end; returns the figures."""
+        self._put(1, self._doc)
+        self._start_vms()
+        await asyncio.sleep(SETTLE_S)
+        load = callers.Callers(
+            self._world, self._plan, self._look_up, self._rng
+        )
+        load.vms = self._vms
+        sampler = asyncio.ensure_future(self._sample())
+        failing = asyncio.ensure_future(self._fail())
+        await load.run(self._plan.seconds)
+        for task in (sampler, failing):
+            task.cancel()
+        for tasks in self._running.values():
+            for task in tasks:
+                task.cancel()
+        return self._figures.result(self._vms)
+
+    def _look_up(self, client: str, region: str) -> str | None:
+        """Asks any live VM, the nearest first, as a caller would."""
+        alive = [
+            vm
+            for name, vm in self._vms.items()
+            if name not in self._world.network.dead
+        ]
+        near = [vm for vm in alive if vm.me.region == region]
+        asked = self._rng.choice(near or alive)
+        named = entry.choose(
+            asked.candidates(), client, site.Site(region, "d1")
+        )
+        return named[0].vm_id if named else None
+
+    async def _sample(self) -> None:
+        while True:
+            self._figures.sample()
+            await asyncio.sleep(SAMPLE_S)
+
+    async def _fail(self) -> None:
+        await asyncio.sleep(self._plan.seconds * FAULT_PART)
+        world = self._world
+        first, second = self._item.regions[0], self._item.regions[1]
+        fault = self._plan.fault
+        if fault == "drain":
+            doc = msgspec.structs.replace(
+                self._doc,
+                drains=(drain.Drain("failure_domain", f"{first}/d1"),),
+            )
+            self._put(2, doc)
+            self._figures.drained(f"{first}/d1")
+            await self._figures.until_in_force(self._vms, 2)
+        elif fault == "region_loss":
+            for server in world.upstreams.values():
+                server.down = server.down or server.spec.region == second
+            await self._kill(
+                [n for n, v in self._vms.items() if v.me.region == second]
+            )
+        elif fault == "vm_loss":
+            await self._kill(["vm0"])
+        elif fault == "region_cut":
+            world.cut.add(second)
+            world.network.cut.add(second)
+            world.store.cut.add(second)
+        elif fault == "store_down":
+            world.store.down = True
+            await asyncio.sleep(STORE_OUT_S)
+            world.store.down = False
+        elif fault == "frozen":
+            world.frozen.add("all")
+
+    async def _kill(self, names: list[str]) -> None:
+        for name in names:
+            self._world.network.dead.add(name)
+            for task in self._running[name]:
+                task.cancel()
+        await asyncio.sleep(LIST_LAG_S)
+        self._world.listed[:] = [
+            item for item in self._world.listed if item.id not in names
+        ]
+
+
+async def _run(name: str, plan: str, policy: str, seed: int, seconds: float):
+    chosen = scenario.ALL[plan]
+    if seconds:
+        chosen = dataclasses.replace(chosen, seconds=seconds)
+    item = deployment.ALL[name]
+    return await Experiment(item, chosen, policy, seed).run()
+
+
+def play(
+    name: str, plan: str, policy: str, seed: int, seconds: float = 0.0
+) -> dict:
+    """Plays one experiment on virtual time.
+
+    Args:
+        name: Name of the deployment.
+        plan: Name of the scenario.
+        policy: ``"ours"`` or ``"naive"``.
+        seed: Seed of all random choices.
+        seconds: Measured virtual time, 0 for the scenario's own.
+    """
+    logging.set_verbosity(logging.FATAL)
+    return virtual_loop.run(_run(name, plan, policy, seed, seconds))
+
+
+@click.command()
+@click.option("--deployment", "name", default="haneul")
+@click.option("--scenario", "plan", default="steady70")
+@click.option("--policy", type=click.Choice(list(POLICIES)), default="ours")
+@click.option("--seed", default=1)
+@click.option("--seconds", default=0.0, help="0 for the scenario's own time.")
+def main(name: str, plan: str, policy: str, seed: int, seconds: float) -> None:
+    """Prints the figures of one experiment as JSON."""
+    found = play(name, plan, policy, seed, seconds)
+    click.echo(
+        json.dumps(
+            {
+                "deployment": name,
+                "scenario": plan,
+                "policy": policy,
+                "seed": seed,
+                **found,
+            }
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyworks_lab/model_request.py
@@ -0,0 +1,25 @@
+"""A caller's request in the model."""
+
+import dataclasses
+from typing import Literal
+
+Ending = Literal["ok", "failed", "rate", "slot", "stale"]
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelRequest:
+    """One request.
+
+    Attributes:
+        organisation: Name of the organisation.
+        service: Name of the service.
+        route: Prefix of the route.
+        region: Region nearest to the caller.
+        started_s: When the caller sent it.
+    """
+
+    organisation: str
+    service: str
+    route: str
+    region: str
+    started_s: float
--- /dev/null
+++ b/src/bramleyworks_lab/naive_vm.py
@@ -0,0 +1,179 @@
+"""The naive policy: no VM knows what the others do."""
+
+import asyncio
+import random
+
+from bramleyworks.daemon import identity
+from bramleyworks.document import codec
+from bramleyworks.document import document
+from bramleyworks.document import stored_config
+from bramleyworks.policy import entry_vm
+from bramleyworks.policy import site
+from bramleyworks.policy import slot_owner
+from bramleyworks_lab import model_request
+from bramleyworks_lab import model_upstream
+from bramleyworks_lab import model_world
+from bramleyworks_lab import rate_meter
+
+MAX_ATTEMPTS = 2
+POLL_S = 5.0
+PROBE_S = 1.0
+# Fixed steps of the share, spread evenly over the time to the deadline.
+CANARY_STEPS = (0.05, 0.25, 0.5, 1.0)
+CANARY_MIN_REQUESTS = 100
+CANARY_FAILED_PART = 0.05
+
+
+class NaiveVm:
+    """Round robin, local buckets of rate/N, fixed canary steps, one retry.
+
+    Attributes:
+        first_cut_s: When this VM took back the next version, None if never.
+    """
+
+    def __init__(
+        self,
+        world: model_world.ModelWorld,
+        me: identity.Identity,
+        rng: random.Random,
+    ):
+        self.me = me
+        self._world = world
+        self._rng = rng
+        self._doc = document.Document()
+        self._buckets: dict[str, rate_meter.RateMeter] = {}
+        self._failing: set[str] = set()
+        self._turn = rng.randrange(1000)
+        self._counts = [0, 0]
+        self.first_cut_s: float | None = None
+
+    def start(self) -> list[asyncio.Task]:
+        """Starts polling and probing; the caller cancels the tasks."""
+        return [
+            asyncio.ensure_future(self._poll()),
+            asyncio.ensure_future(self._probe()),
+        ]
+
+    def candidates(self) -> list[entry_vm.EntryVm]:
+        """Returns the VMs on the platform's list."""
+        return [
+            entry_vm.EntryVm(
+                item.id, item.http, site.Site(item.region, item.failure_domain)
+            )
+            for item in self._world.listed
+            if item.state == "live"
+        ]
+
+    async def _poll(self) -> None:
+        while True:
+            found = self._world.store.data.entries.get(stored_config.CONFIG_KEY)
+            if found and not self._world.store.down:
+                self._doc = codec.decode_stored(found[0]).unwrap().doc
+                count = self._world.deployment.vms
+                for item in self._doc.organisations:
+                    self._buckets.setdefault(
+                        item.name,
+                        rate_meter.RateMeter(
+                            item.rate_per_s / count, item.burst / count
+                        ),
+                    )
+            await asyncio.sleep(POLL_S * self._rng.uniform(0.5, 1.0))
+
+    async def _probe(self) -> None:
+        while True:
+            if not self._world.frozen:
+                self._failing = {
+                    name
+                    for name, server in self._world.upstreams.items()
+                    if server.down
+                    or not self._world.is_reachable(
+                        self.me.region, server.spec.region
+                    )
+                }
+            await asyncio.sleep(PROBE_S)
+
+    def _version(self, service: str) -> str:
+        now_s = self._world.clock()
+        version = next(
+            s.version for s in self._doc.services if s.name == service
+        )
+        for move in self._doc.moves:
+            if move.service == service and now_s >= move.start_s:
+                part = (now_s - move.start_s) / (move.deadline_s - move.start_s)
+                step = min(len(CANARY_STEPS) - 1, int(part * len(CANARY_STEPS)))
+                if (
+                    self.first_cut_s is None
+                    and self._rng.random() < CANARY_STEPS[step]
+                ):
+                    return move.to_version
+        return version
+
+    def _pick(
+        self, service: str, version: str, exclude: str
+    ) -> model_upstream.ModelUpstream | None:
+        drained = slot_owner.drained_upstreams(self._doc)
+        usable = [
+            self._world.upstreams[item.name]
+            for item in self._doc.upstreams
+            if item.service == service
+            and item.version == version
+            and item.name not in drained
+            and item.name not in self._failing
+            and item.name != exclude
+        ]
+        near = [u for u in usable if u.spec.region == self.me.region]
+        chosen = near or usable
+        if not chosen:
+            return None
+        self._turn += 1
+        return chosen[self._turn % len(chosen)]
+
+    async def serve(
+        self, req: model_request.ModelRequest
+    ) -> model_request.Ending:
+        """Serves one request."""
+        bucket = self._buckets.get(req.organisation)
+        if bucket is None:
+            return "stale"
+        now_s = self._world.clock()
+        if not bucket.fits(now_s):
+            return "rate"
+        bucket.take(now_s)
+        self._world.seen.admit(req.organisation, now_s)
+        tried = ""
+        for _ in range(MAX_ATTEMPTS):
+            version = self._version(req.service)
+            server = self._pick(req.service, version, tried)
+            if server is None:
+                return "slot"
+            if await self._exchange(req, server):
+                return "ok"
+            tried = server.spec.name
+        return "failed"
+
+    async def _exchange(
+        self,
+        req: model_request.ModelRequest,
+        server: model_upstream.ModelUpstream,
+    ) -> bool:
+        world = self._world
+        spec = server.spec
+        world.seen.send(
+            self.me.region, spec.region, req.route, spec.version, world.clock()
+        )
+        delay_s = world.deployment.latency_s(self.me.region, spec.region)
+        await asyncio.sleep(delay_s)
+        is_ok = world.is_reachable(
+            self.me.region, spec.region
+        ) and await server.run(req.route, world.clock())
+        await asyncio.sleep(delay_s)
+        if any(move.to_version == spec.version for move in self._doc.moves):
+            self._counts[0] += 1
+            self._counts[1] += not is_ok
+            if (
+                self.first_cut_s is None
+                and self._counts[0] >= CANARY_MIN_REQUESTS
+                and self._counts[1] > CANARY_FAILED_PART * self._counts[0]
+            ):
+                self.first_cut_s = world.clock()
+        return is_ok
--- /dev/null
+++ b/src/bramleyworks_lab/scenario.py
@@ -0,0 +1,66 @@
+"""What happens during an experiment."""
+
+import dataclasses
+from typing import Literal
+
+Fault = Literal[
+    "none",
+    "drain",
+    "region_loss",
+    "store_down",
+    "frozen",
+    "vm_loss",
+    "region_cut",
+]
+Badness = Literal["none", "good", "at_once", "late", "under_load", "one_route"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """One row of the table.
+
+    Attributes:
+        name: Name of the row.
+        load: Offered load as a part of the capacity of all slots.
+        seconds: Measured virtual time.
+        fault: What fails, after a fifth of the time.
+        heavy: Factor on the rate of the smallest organisation.
+        version: How the next version behaves; ``"none"`` for no move.
+        cold: Whether servers are cold after not being used for a while.
+    """
+
+    name: str
+    load: float = 0.7
+    seconds: float = 40.0
+    fault: Fault = "none"
+    heavy: float = 1.0
+    version: Badness = "none"
+    cold: bool = False
+
+
+MOVE_S = 120.0
+
+ALL = {
+    item.name: item
+    for item in (
+        Scenario("steady70"),
+        Scenario("steady95", load=0.95),
+        Scenario("heavy5x", heavy=5.0),
+        Scenario("drain", fault="drain"),
+        Scenario("vm_loss", fault="vm_loss"),
+        Scenario("region_loss", load=0.5, fault="region_loss"),
+        Scenario("region_cut", load=0.5, fault="region_cut"),
+        Scenario("store_down", seconds=620.0, load=0.25, fault="store_down"),
+        Scenario("frozen", fault="frozen"),
+        Scenario("cold", load=0.5, fault="drain", cold=True),
+        Scenario("good", load=0.5, seconds=MOVE_S, version="good"),
+        Scenario("bad_at_once", load=0.5, seconds=MOVE_S, version="at_once"),
+        Scenario("bad_late", load=0.5, seconds=MOVE_S, version="late"),
+        Scenario(
+            "bad_under_load", load=0.5, seconds=MOVE_S, version="under_load"
+        ),
+        Scenario(
+            "bad_one_route", load=0.5, seconds=MOVE_S, version="one_route"
+        ),
+    )
+}
