Choose lenders by what they can spare and test limits under an adversary

Cause: asking peers in turn wasted half of the asks on VMs that carry the load themselves; the adversary found two ways to use units twice. Change: the borrower learns each peer's surplus and follows its capacity while tokens are lent out. A VM that the platform's list has dropped is no longer a majority of its own, and its own vote completes a majority but is none by itself, because a second process of the same VM would cast it too. The model in tests/support counts every admitted request in one global bucket under lost, repeated, reordered messages, lost and late store writes, pauses, restarts, removals and changed limits.

--- a/src/bramleyworks/daemon/limit_task.py
+++ b/src/bramleyworks/daemon/limit_task.py
@@ -27,10 +27,10 @@
 MAX_WAIT_S = 0.15
 MAX_WAITERS = 256
 
-VM_ASKS_PER_S = 12.0
+VM_ASKS_PER_S = 16.0
 VM_GRANTS_PER_S = 20.0
 """With at most 70 bytes a message these bound the traffic of all limits to
-32 messages and 2.2 KB a second; heartbeats need the rest of the 4 KB."""
+36 messages and 2.5 KB a second; heartbeats need the rest of the 4 KB."""
 
 IDLE_REQUESTS_PER_S = 0.01
 
@@ -347,6 +347,7 @@
             self._near,
             self._far,
             known.burst / (peers + 1),
+            known.rate_per_s / (peers + 1),
             int(self._ask_budget.tokens),
             self._next_id,
             self._rng.random(),
--- a/src/bramleyworks/policy/borrowing.py
+++ b/src/bramleyworks/policy/borrowing.py
@@ -1,11 +1,11 @@
 """When to ask which peer for tokens of one limit, and how many to lend.
 
-Peers are asked in the order of least recent use, nearest first among equals
-and for requests that wait. Nobody knows the peers' levels, so the load of
-lending is spread evenly over all of them; a peer that gave less than asked, or
-did not answer, rests for a time that doubles with each failure. Asking the
-peer that gave most last time would drain its bucket, since its capacity stays
-lowered for a second.
+Nobody knows the peers' levels, but the borrower learns from each grant how
+many tokens per second a peer can spare, and asks the peers that should have
+most to spare by now. Asking in turn instead wastes half of the asks when a few
+VMs carry the load, because these have nothing to lend to each other. A peer
+that gave nothing or did not answer rests for a time that doubles with each
+failure. A request that waits asks the VM's own region first.
 """
 
 import dataclasses
@@ -15,24 +15,40 @@
 
 from bramleyworks.policy import token_bucket
 
-HORIZON_S = 0.5
+HORIZON_S = 0.35
 """Time ahead for which tokens should suffice; covers the interval between
 asks and a round trip between regions (70 ms)."""
 
+URGENT_S = 0.1
+"""Time within which a waiting request needs its tokens; a request waits up to
+0.15 s, of which an answer from another region takes 0.07 s."""
+
+FILL_S = 0.9
+"""Time ahead to ask for once tokens will not suffice for the horizon. More
+would expire unused."""
+
 DEMAND_TAU_S = 1.0
-SPREAD = 2.0
-"""Standard deviations of the number of requests to hold tokens for."""
+BORROWER_SPREAD = 1.0
+LENDER_SPREAD = 1.0
+"""Standard deviations of the demand that a VM holds tokens for."""
 
-ASKS_PER_S = 5.0
-ASKS_BURST = 3.0
+ASKS_PER_S = 6.0
+ASKS_BURST = 6.0
 PARALLEL_ASKS = 3
 ANSWER_S = 0.3
 REST_S = 0.25
 REST_MAX_S = 4.0
+FIRST_YIELD_PART = 1.0
+"""Part of its capacity that a peer not yet asked is expected to lend."""
+
+LEAST_SURPLUS_PART = 0.05
+"""Part of its rate that every peer is expected to spare, so that a peer that
+had nothing is tried again some time later."""
+
 LENDER_KEEP_MAX = 0.5
 """Largest part of its capacity that a lender keeps for itself."""
 
-MIN_ASK_PART = 0.25
+MIN_ASK_PART = 0.5
 """Smallest ask, in requests: a smaller one is not worth a message."""
 
 
@@ -43,12 +59,18 @@
     Attributes:
         asked_s: When it was last asked.
         ready_s: When it may be asked again.
-        rest_s: Length of the last rest, 0 after a full grant.
+        rest_s: Length of the last rest, 0 after a grant.
+        left: Tokens it is expected to have kept beyond its own need.
+        surplus_per_s: Tokens per second that it can spare.
+        lent: Tokens of its last grant, which its capacity lacks for a while.
     """
 
-    asked_s: float = -math.inf
-    ready_s: float = -math.inf
-    rest_s: float = 0.0
+    asked_s: float
+    ready_s: float
+    rest_s: float
+    left: float
+    surplus_per_s: float
+    lent: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,12 +82,14 @@
         peer: Name of the peer asked.
         amount: Tokens asked for.
         sent_s: Time read before the ask was sent.
+        elapsed_s: Time since the peer was asked before.
     """
 
     ask_id: int
     peer: str
     amount: float
     sent_s: float
+    elapsed_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,9 +113,9 @@
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
 
 
-def spread(borrower: Borrower, seconds: float) -> float:
-    """Returns by how many tokens the demand may exceed its mean."""
-    return SPREAD * math.sqrt(borrower.demand_per_s * seconds * borrower.size)
+def deviation(borrower: Borrower, seconds: float) -> float:
+    """Returns the standard deviation of the tokens wanted in a time."""
+    return math.sqrt(borrower.demand_per_s * seconds * borrower.size)
 
 
 def observe(
@@ -120,8 +144,11 @@
         late = [ask for ask in pending if ask.sent_s + ANSWER_S <= now_s]
         peers = dict(peers)
         for ask in late:
-            known = peers.get(ask.peer, Peer())
-            if known.ready_s == math.inf and known.asked_s == ask.sent_s:
+            known = peers.get(ask.peer)
+            if known and (known.ready_s, known.asked_s) == (
+                math.inf,
+                ask.sent_s,
+            ):
                 peers[ask.peer] = _rested(known, now_s)
         pending = tuple(
             [ask for ask in pending if ask.sent_s + token_bucket.LOAN_S > now_s]
@@ -139,7 +166,46 @@
 
 def _rested(known: Peer, now_s: float) -> Peer:
     rest_s = min(REST_MAX_S, max(REST_S, 2 * known.rest_s))
-    return Peer(known.asked_s, now_s + rest_s, rest_s)
+    return dataclasses.replace(
+        known, ready_s=now_s + rest_s, rest_s=rest_s, left=0.0
+    )
+
+
+def _spare(
+    known: Peer, now_s: float, capacity: float, rate_per_s: float
+) -> float:
+    """Returns how many tokens a peer should have to spare by now."""
+    surplus_per_s = min(
+        rate_per_s, max(known.surplus_per_s, LEAST_SURPLUS_PART * rate_per_s)
+    )
+    passed_s = now_s - known.asked_s
+    held_s = min(passed_s, token_bucket.LEND_HOLD_S)
+    spare = min(capacity - known.lent, known.left + surplus_per_s * held_s)
+    return min(capacity, spare + surplus_per_s * (passed_s - held_s))
+
+
+def _learned(known: Peer, ask: Ask, now_s: float, amount: float) -> Peer:
+    """Updates what is known of a peer by the amount that it granted."""
+    per_s = amount / max(ask.elapsed_s, token_bucket.LOAN_S)
+    if amount >= ask.amount:
+        return dataclasses.replace(
+            known,
+            ready_s=now_s,
+            rest_s=0.0,
+            left=0.5 * amount,
+            surplus_per_s=max(known.surplus_per_s, per_s),
+            lent=amount,
+        )
+    known = dataclasses.replace(
+        known,
+        ready_s=now_s,
+        left=0.0,
+        surplus_per_s=0.5 * (known.surplus_per_s + per_s),
+        lent=amount,
+    )
+    if amount > 0.0:
+        return dataclasses.replace(known, rest_s=0.0)
+    return _rested(known, now_s)
 
 
 def shortage(
@@ -147,23 +213,26 @@
     bucket: token_bucket.TokenBucket,
     now_s: float,
     waiting: float,
+    horizon_s: float,
 ) -> float:
-    """Returns how many tokens will be missing within the horizon.
+    """Returns how many tokens will be missing within a time.
 
     Args:
         borrower: Demand and pending asks.
         bucket: The bucket, filled up to now.
         now_s: Time now.
         waiting: Tokens that waiting requests want.
+        horizon_s: Time ahead in seconds.
     """
-    expected = bucket.tokens + bucket.rate_per_s * HORIZON_S
+    expected = bucket.tokens + bucket.rate_per_s * horizon_s
     for expires_s, amount in bucket.borrowed:
         left_s = expires_s - now_s
         expected += min(amount, borrower.demand_per_s * left_s)
     for ask in borrower.pending:
         if ask.sent_s + ANSWER_S > now_s:
             expected += ask.amount
-    wanted = borrower.demand_per_s * HORIZON_S + spread(borrower, HORIZON_S)
+    wanted = borrower.demand_per_s * horizon_s
+    wanted += BORROWER_SPREAD * deviation(borrower, horizon_s)
     return waiting + wanted - expected
 
 
@@ -175,6 +244,7 @@
     near: Sequence[str],
     far: Sequence[str],
     peer_capacity: float,
+    peer_rate_per_s: float,
     allowed: int,
     next_id: Callable[[], int],
     rnd: float,
@@ -189,6 +259,7 @@
         near: Live peers of the same region.
         far: Other live peers.
         peer_capacity: Capacity of an average peer's bucket.
+        peer_rate_per_s: Rate of an average peer's bucket.
         allowed: Asks that the VM may still send now for all limits.
         next_id: Returns a new ask id.
         rnd: Random number in [0, 1) that spreads first asks over the peers.
@@ -199,44 +270,66 @@
     count = min(int(borrower.budget), allowed, PARALLEL_ASKS)
     if count <= 0:
         return borrower, ()
-    missing = shortage(borrower, bucket, now_s, waiting)
+    missing = shortage(borrower, bucket, now_s, waiting, HORIZON_S)
+    if waiting:
+        missing = max(
+            missing, shortage(borrower, bucket, now_s, waiting, URGENT_S)
+        )
     if missing < MIN_ASK_PART * borrower.size:
         return borrower, ()
+    missing = max(missing, shortage(borrower, bucket, now_s, waiting, FILL_S))
     ranked = []
     for distance, names in ((0, near), (1, far)):
         offset = int(rnd * len(names))
         for index, name in enumerate(names):
             known = borrower.peers.get(name)
             if known is None:
-                known = Peer()
+                spare = FIRST_YIELD_PART * peer_capacity
             elif known.ready_s > now_s:
                 continue
-            place = distance if waiting else 0
-            order = (index - offset) % len(names)
-            ranked.append((place, known.asked_s, distance, order, name))
-    if not ranked:
-        return borrower, ()
+            else:
+                spare = _spare(known, now_s, peer_capacity, peer_rate_per_s)
+            ranked.append(
+                (
+                    distance if waiting else 0,
+                    -spare,
+                    (index - offset) % len(names),
+                    name,
+                )
+            )
     ranked.sort()
-    useful = max(0.5 * peer_capacity, MIN_ASK_PART * borrower.size)
-    count = min(count, len(ranked), max(1, math.ceil(missing / useful)))
-    asks = tuple(
-        [
-            Ask(next_id(), entry[-1], missing / count, now_s)
-            for entry in ranked[:count]
-        ]
-    )
+    chosen = []
+    spare = 0.0
+    for _, less_spare, _, name in ranked[:count]:
+        if spare >= missing:
+            break
+        chosen.append(name)
+        spare -= less_spare
+    if not chosen:
+        return borrower, ()
+    asks = []
+    for name in chosen:
+        known = borrower.peers.get(name)
+        elapsed_s = now_s - known.asked_s if known else token_bucket.LOAN_S
+        asks.append(
+            Ask(next_id(), name, missing / len(chosen), now_s, elapsed_s)
+        )
     peers = dict(borrower.peers)
     for ask in asks:
-        known = peers.get(ask.peer, Peer())
-        peers[ask.peer] = Peer(now_s, math.inf, known.rest_s)
+        known = peers.get(ask.peer)
+        if known is None:
+            known = Peer(now_s, math.inf, 0.0, 0.0, peer_rate_per_s)
+        peers[ask.peer] = dataclasses.replace(
+            known, asked_s=now_s, ready_s=math.inf
+        )
     return (
         dataclasses.replace(
             borrower,
-            budget=borrower.budget - count,
-            pending=borrower.pending + asks,
+            budget=borrower.budget - len(asks),
+            pending=(*borrower.pending, *asks),
             peers=peers,
         ),
-        asks,
+        tuple(asks),
     )
 
 
@@ -260,15 +353,14 @@
         return borrower, bucket
     if ask.peer != peer or not 0.0 <= amount <= ask.amount:
         return borrower, bucket
-    known = borrower.peers.get(peer, Peer())
-    if amount < 0.5 * ask.amount:
-        known = _rested(known, now_s)
-    else:
-        known = Peer(known.asked_s, now_s, 0.0)
+    known = borrower.peers.get(peer)
+    peers = borrower.peers
+    if known is not None:
+        peers = {**peers, peer: _learned(known, ask, now_s, amount)}
     borrower = dataclasses.replace(
         borrower,
         pending=tuple([other for other in borrower.pending if other != ask]),
-        peers={**borrower.peers, peer: known},
+        peers=peers,
     )
     return borrower, token_bucket.receive(
         bucket, now_s, amount, ask.sent_s + token_bucket.LOAN_S
@@ -301,10 +393,9 @@
     if bucket.capacity < borrower.size:
         reserve = 0.0
     else:
-        reserve = max(
+        reserve = LENDER_SPREAD * deviation(borrower, token_bucket.LEND_HOLD_S)
+        reserve += token_bucket.LEND_HOLD_S * max(
             0.0, borrower.demand_per_s - bucket.rate_per_s
-        ) * token_bucket.LEND_HOLD_S + spread(
-            borrower, token_bucket.LEND_HOLD_S
         )
         reserve = min(reserve, LENDER_KEEP_MAX * bucket.capacity)
     return token_bucket.lend(bucket, now_s, amount, reserve)
--- a/src/bramleyworks/policy/share_ledger.py
+++ b/src/bramleyworks/policy/share_ledger.py
@@ -4,8 +4,9 @@
 
 - its own read of the ledger, sent at most ``READ_VALID_S`` ago, that shows its
   entry; or
-- heartbeats, at most ``PEERS_VALID_S`` old, from enough members that they and
-  the VM are a majority, none of which knows a newer epoch.
+- heartbeats, at most ``PEERS_VALID_S`` old, from at least one peer and enough
+  of them that they and the VM are a majority, none of which knows a newer
+  epoch.
 
 Units and upstreams that a removal or a takeover has freed are used only
 ``REMOVAL_WAIT_S`` after a majority is known to have read that epoch. Two
@@ -227,38 +228,65 @@
 def _electorate(state: ShareState) -> frozenset[str]:
     """Returns the members whose majority counts.
 
-    Without the platform's list these are the ledger's members.
+    Without the platform's list these are the ledger's members. A VM that is
+    not among them does not count itself; otherwise one that the list has
+    dropped could be a majority of its own.
     """
     view = state.view
     if view is not None and view.listed is not None:
-        return view.listed | {state.vm_id}
-    members = state.known.members if state.known is not None else {}
-    return frozenset(members) | {state.vm_id}
+        return view.listed
+    return frozenset(state.known.members if state.known is not None else ())
 
 
-def _majority_heard_s(
-    state: ShareState, now_s: float, low: int, high: float
-) -> float:
-    """Returns when a majority with epochs in a range was last complete."""
-    if state.view is None:
-        return -math.inf
-    electorate = _electorate(state)
-    heard = [now_s] if low <= epoch(state) <= high else []
-    for name, peer in state.view.live.items():
-        if (
-            name in electorate
+def _heard_s(
+    state: ShareState, electorate: frozenset[str], low: int, high: float
+) -> list[float]:
+    """Returns when live peers with epochs in a range were heard, newest first.
+
+    Heartbeats heard before ``started_s`` may be older than they seem.
+    """
+    return sorted(
+        (
+            peer.heard_s
+            for name, peer in state.view.live.items()
+            if name in electorate
             and name != state.vm_id
             and low <= peer.beat.ledger_epoch <= high
             and peer.heard_s >= state.started_s
-        ):
-            heard.append(peer.heard_s)
-    needed = len(electorate) // 2 + 1
-    if len(heard) < needed:
+        ),
+        reverse=True,
+    )
+
+
+def _peers_s(state: ShareState) -> float:
+    """Returns when a majority that knows no newer epoch was last complete.
+
+    The VM's own vote completes a majority but is none by itself: a second
+    process of the same VM would cast it too.
+    """
+    electorate = _electorate(state)
+    # A member that has read no ledger yet (epoch 0) says nothing about it.
+    heard = _heard_s(state, electorate, 1, epoch(state))
+    needed = len(electorate) // 2 + 1 - (state.vm_id in electorate)
+    if not 0 < needed <= len(heard):
         return -math.inf
-    heard.sort(reverse=True)
     return heard[needed - 1]
 
 
+def _seen_by_majority(state: ShareState, since: int) -> bool:
+    """Returns whether enough peers have read an epoch.
+
+    The VM's own vote does not count, because a predecessor that still runs
+    casts the same vote. Half of the electorate, rounded up, then meets every
+    majority that includes that vote.
+    """
+    electorate = _electorate(state)
+    if electorate <= {state.vm_id}:
+        return True
+    heard = _heard_s(state, electorate, max(1, since), math.inf)
+    return len(heard) >= (len(electorate) + 1) // 2
+
+
 def on_fleet(
     state: ShareState, now_s: float, view: fleet_view.FleetView, rnd: float
 ) -> ShareState:
@@ -287,8 +315,7 @@
 def _count_evidence(state: ShareState, now_s: float) -> ShareState:
     if state.known is None or state.view is None:
         return state
-    # A member that has read no ledger yet (epoch 0) says nothing about it.
-    peers_s = _majority_heard_s(state, now_s, 1, epoch(state))
+    peers_s = _peers_s(state)
     contact_s = state.contact_s
     if peers_s + PEERS_VALID_S <= now_s:
         contact_s = math.inf
@@ -297,22 +324,19 @@
         contact_s = now_s
     changes = {"peers_s": peers_s, "contact_s": contact_s}
     if state.removal_known_s == math.inf and _seen_by_majority(
-        state, now_s, state.known.removal_epoch
+        state, state.known.removal_epoch
     ):
         changes["removal_known_s"] = now_s
     if (
         state.held_epoch
         and state.held_known_s == math.inf
-        and _seen_by_majority(state, now_s, state.held_epoch)
+        and epoch(state) >= state.held_epoch
+        and _seen_by_majority(state, state.held_epoch)
     ):
         changes["held_known_s"] = now_s
     return dataclasses.replace(state, **changes)
 
 
-def _seen_by_majority(state: ShareState, now_s: float, since: int) -> bool:
-    return _majority_heard_s(state, now_s, max(1, since), math.inf) > -math.inf
-
-
 def on_upstreams(
     state: ShareState, upstreams: tuple[tuple[str, str], ...]
 ) -> ShareState:
--- /dev/null
+++ b/tests/support/limit_model.py
@@ -0,0 +1,318 @@
+"""A fleet under an adversary, checked against one global token bucket."""
+
+import random
+
+from support import fake_link
+from support import fake_store
+from support import limit_fleet
+from support import virtual_clock
+
+from bramleyworks import errors
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import ledger_task
+from bramleyworks.daemon import limit_task
+from bramleyworks.messages import heartbeat
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import ledger
+from bramleyworks.policy import member
+from bramleyworks.policy import token_bucket
+
+LIMIT = "org:o"
+STEP_S = 0.2
+LIVE_S = 2.0
+TOLERANCE = 1e-6
+
+
+class AdversaryStore(fake_store.FakeStore):
+    """Loses requests and replies, and lets lost writes land later.
+
+    Attributes:
+        faults: Kinds of fault for the coming writes: ``"reply"``, ``"request"``
+            or ``"late"``.
+        late: Writes that land when the test says so.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.faults = []
+        self.late = []
+
+    async def put(self, key, value, expected_revision):
+        fault = self.faults.pop(0) if self.faults else None
+        if fault == "reply":
+            self.lose_replies = 1
+        elif fault:
+            if fault == "late":
+                self.late.append((key, value, expected_revision))
+            raise errors.StoreUnknownError("store.put", "fake", fault)
+        return await super().put(key, value, expected_revision)
+
+    def land(self):
+        """Lets the oldest late write reach the store."""
+        if self.late:
+            try:
+                run_now(super().put(*self.late.pop(0)))
+            except errors.StoreError:
+                pass
+
+
+class Gate:
+    """The store as one VM reaches it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.cut = False
+
+    async def get(self, key):
+        if self.cut:
+            raise errors.StoreError("store.get", "fake", "cut off")
+        return await self.store.get(key)
+
+    async def put(self, key, value, expected_revision):
+        if self.cut:
+            raise errors.StoreError("store.put", "fake", "cut off")
+        return await self.store.put(key, value, expected_revision)
+
+
+def run_now(coro):
+    """Runs a coroutine that never suspends."""
+    try:
+        coro.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("the coroutine waits")
+
+
+class Node:
+    """One process; an old incarnation may run beside its successor."""
+
+    def __init__(self, model, name, incarnation):
+        rng = random.Random(f"{name}/{incarnation}")
+        me = identity.Identity(name, incarnation, "a", "1", name, name)
+        self.name = name
+        self.paused = False
+        self.store = Gate(model.store)
+        self.heard = {}
+        self.ledger = ledger_task.LedgerTask(
+            me, self.store, limit_fleet.AuditNotes(), model.clock, rng.random
+        )
+        self.limits = limit_task.LimitTask(
+            me, model.network.link(name), self.ledger, model.clock, rng
+        )
+        self.config(*model.limit)
+
+    def config(self, rate_per_s, burst):
+        self.limit = (rate_per_s, burst)
+        self.limits.on_config(limit_fleet.config({"o": self.limit}))
+
+    def beat(self):
+        return heartbeat.Heartbeat(
+            vm_id=self.name,
+            incarnation="",
+            sequence=1,
+            region="a",
+            failure_domain="1",
+            http="",
+            peer="",
+            config_version=1,
+            fresh_age_s=0.0,
+            draining=False,
+            ledger_epoch=self.ledger.epoch(),
+            free_slots={},
+        )
+
+
+class Model:
+    """Runs nodes step by step and counts every admitted request.
+
+    The reference is one global bucket. Its rate and burst are the largest in
+    force anywhere; a lower burst counts once loans under the old one ended.
+    """
+
+    def __init__(self, count=3, limit=(20.0, 12.0)):
+        self.clock = virtual_clock.VirtualClock()
+        self.network = fake_link.FakeNetwork()
+        self.store = AdversaryStore(self.clock)
+        self.limit = limit
+        self.nodes = {}
+        self.zombies = []
+        self.listed = set()
+        self.isolated = set()
+        self.incarnations = 0
+        self.next_beat_s = 0.0
+        self.bursts = [(self.clock(), limit[1])]
+        self.level = limit[1]
+        self.level_s = self.clock()
+        self.admitted = 0.0
+        for index in range(count):
+            self.start(f"vm{index}")
+
+    def start(self, name):
+        self.incarnations += 1
+        self.listed.add(name)
+        self.nodes[name] = Node(self, name, str(self.incarnations))
+
+    def node(self, index):
+        return self.nodes[sorted(self.nodes)[index % len(self.nodes)]]
+
+    # Events.
+
+    def advance(self, seconds, deliver="once"):
+        """Moves time on; processes that are not paused do their work.
+
+        Args:
+            seconds: Time to pass.
+            deliver: Whether messages arrive ``"once"``, ``"twice"`` or
+                ``"not"`` at all until a later event.
+        """
+        end_s = self.clock() + seconds
+        while True:
+            self._work(deliver)
+            left_s = end_s - self.clock()
+            if left_s <= 0.0:
+                break
+            self._fill()
+            self.clock.advance(min(STEP_S, left_s))
+            self._fill()
+            self.check_units()
+
+    def _work(self, deliver):
+        if self.clock() >= self.next_beat_s:
+            self.next_beat_s = self.clock() + 1.0
+            self.beat()
+        for node in [*self.nodes.values(), *self.zombies]:
+            if not node.paused:
+                node.limits.tick()
+                run_now(node.ledger.step())
+        while deliver != "not" and self.network.pending:
+            if deliver == "twice":
+                self.message("repeat", 0)
+                self.message("deliver", -1)
+            else:
+                self.message("deliver", 0)
+        del self.network.pending[:-100]
+
+    def beat(self):
+        now_s = self.clock()
+        running = [n for n in self.nodes.values() if not n.paused]
+        for node in running:
+            for peer in running:
+                if peer is not node and not {peer.name, node.name} & (
+                    self.isolated
+                ):
+                    node.heard[peer.name] = member.Member(peer.beat(), now_s)
+        for node in [*running, *self.zombies]:
+            live = {
+                name: heard
+                for name, heard in node.heard.items()
+                if now_s - heard.heard_s < LIVE_S
+            }
+            view = fleet_view.FleetView(
+                node.name,
+                live,
+                frozenset(self.listed),
+                heard_s={n: m.heard_s for n, m in node.heard.items()},
+            )
+            node.ledger.on_fleet(view)
+            node.limits.on_fleet(view)
+
+    def message(self, fate, index):
+        """Delivers, repeats or drops one pending message, in any order."""
+        pending = self.network.pending
+        if not pending:
+            return
+        index %= len(pending)
+        sender, receiver, _ = pending[index]
+        if fate == "drop" or {sender, receiver} & self.isolated:
+            pending.pop(index)
+        elif not self.nodes[receiver].paused:
+            again = pending[index]
+            self.network.deliver(index)
+            if fate == "repeat":
+                pending.append(again)
+        elif fate == "deliver":
+            pending.pop(index)
+
+    def request(self, node, amount=1.0):
+        """Offers one request and checks the bound if it is admitted."""
+        if not node.limits.try_take(LIMIT, amount):
+            return False
+        self._fill()
+        self.level -= amount
+        self.admitted += amount
+        assert self.level >= -TOLERANCE, (
+            f"{-self.level:.3f} requests above burst + rate * window"
+        )
+        return True
+
+    def drain(self, nodes=None):
+        """Takes all tokens that any process can use now."""
+        for node in nodes or [*self.nodes.values(), *self.zombies]:
+            if node.paused:
+                continue
+            amount = 16.0
+            while amount > 0.01:
+                if not self.request(node, amount):
+                    amount /= 2
+
+    def pause(self, node):
+        node.paused = True
+
+    def resume(self, node):
+        """Resumes a process; its first act is to admit requests."""
+        node.paused = False
+        self.drain([node])
+
+    def lose(self, node):
+        """Cuts a process off from everything while it goes on admitting."""
+        self.isolated.add(node.name)
+        self.listed.discard(node.name)
+        node.store.cut = True
+
+    def restart(self, node, zombie):
+        """Starts a successor; a zombie goes on without hearing peers."""
+        if zombie:
+            self.zombies = [*self.zombies, node][-2:]
+        self.start(node.name)
+
+    def configure(self, rate_per_s, burst, nodes=None):
+        self._fill()
+        self.limit = (rate_per_s, burst)
+        for node in nodes or [*self.nodes.values(), *self.zombies]:
+            node.config(rate_per_s, burst)
+        self._fill()
+
+    # Checks.
+
+    def _fill(self):
+        """Fills the reference bucket up to now."""
+        now_s = self.clock()
+        limits = [n.limit for n in [*self.nodes.values(), *self.zombies]]
+        self.bursts.append((now_s, max(burst for _, burst in limits)))
+        horizon_s = now_s - token_bucket.LEND_HOLD_S - STEP_S
+        while len(self.bursts) > 1 and self.bursts[1][0] < horizon_s:
+            self.bursts.pop(0)
+        rate_per_s = max(rate for rate, _ in limits)
+        self.level = min(
+            max(burst for _, burst in self.bursts),
+            self.level + rate_per_s * (now_s - self.level_s),
+        )
+        self.level_s = now_s
+
+    def check_units(self):
+        """Checks the units of the ledger and of all processes."""
+        entry = self.store._entries.get(ledger.LEDGER_KEY)
+        if entry is None:
+            return
+        value = ledger.decode(entry.value).unwrap()
+        using = [
+            node
+            for node in [*self.nodes.values(), *self.zombies]
+            if not node.paused and node.ledger.units()
+        ]
+        used = sum(node.ledger.units() for node in using)
+        assert used <= ledger.TOTAL_UNITS, f"{used} units in use"
+        # A removed process uses its units until it learns of the removal;
+        # until then nobody else may withdraw them.
+        if all(n.ledger.epoch() >= value.removal_epoch for n in using):
+            assert used + value.free_units <= ledger.TOTAL_UNITS
