--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -44,6 +44,7 @@
 MAX_HOME_ASKS = 3
 # An owner in the region answers in about 2 ms.
 NEXT_ASK_S = 0.004
+MIN_WAIT_S = 0.001
 RECHECK_S = 0.25
 SHIFT_RETRY_S = 0.1
 # A slot in another region stays idle while tokens for it are borrowed.
@@ -196,7 +197,11 @@
                     continue
                 wake_s = self._advance(waiter, now_s)
                 if waiter.slot is None:
-                    await waiter.wait(min(wake_s, ask.deadline_s) - now_s)
+                    # A wake-up time in the past must not make a busy loop.
+                    wake_s = max(
+                        min(wake_s, ask.deadline_s), now_s + MIN_WAIT_S
+                    )
+                    await waiter.wait(wake_s - now_s)
         finally:
             self._withdraw(waiter)
             if waiter.slot is not None and not returned:
@@ -617,7 +622,7 @@
             return waiter.since_s + after_s + 0.001
         if any(self._free_at(name, ask) > 0 for name in owners):
             # The region may have a free slot; it is asked first.
-            return waiter.next_ask_s + NEXT_ASK_S
+            return now_s + NEXT_ASK_S
         if now_s < waiter.next_shift_s:
             return waiter.next_shift_s
         waiter.next_shift_s = now_s + SHIFT_RETRY_S
