--- a/tests/daemon/test_slot_task.py
+++ b/tests/daemon/test_slot_task.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 
+from support import slot_world
+
 from bramleyworks.messages import codec
 from bramleyworks.messages import slot_cancel
 from bramleyworks.messages import slot_loan
 from bramleyworks.messages import slot_release
 from bramleyworks_lab import virtual_loop
-from support import slot_world
 
 NEUTRAL = slot_world.NEUTRAL
 OK = slot_world.OK
--- /dev/null
+++ b/tests/platform/test_probe.py
@@ -0,0 +1,77 @@
+"""Guards against health endpoints that hang, lie or send garbage."""
+
+import asyncio
+import contextlib
+
+from bramleyworks.platform import probe
+from bramleyworks.policy import probe_reading
+
+GOOD = b'{"status": "ok", "busy": 2, "slots": 5, "version": "v1", "more": 1}'
+
+
+def answer(body, status="200 OK"):
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@contextlib.asynccontextmanager
+async def serving(data, hang=False):
+    async def handle(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+            if hang:
+                await asyncio.sleep(5.0)
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"http://127.0.0.1:{port}"
+    finally:
+        server.close()
+
+
+async def read(data, hang=False):
+    async with serving(data, hang) as url, probe.Probe(0.3) as reader:
+        return await reader.read(url)
+
+
+async def test_answer_is_read_and_unknown_fields_are_ignored():
+    got = await read(answer(GOOD))
+    assert got.unwrap() == probe_reading.ProbeReading("ok", 2, 5, "v1")
+
+
+async def test_bad_answers_are_errors_with_step_and_peer():
+    for data in (
+        answer(b""),
+        answer(b"[]"),
+        answer(b"\xff\xfe"),
+        answer(GOOD.replace(b"ok", b"fine")),
+        answer(GOOD.replace(b"2", b"null")),
+        answer(b'{"status": "ok"}'),
+        answer(GOOD, "500 Error"),
+        answer(GOOD, "302 Found"),
+        answer(GOOD + b" " * 100_000),
+        b"garbage\r\n\r\n",
+        b"",
+    ):
+        err = (await read(data)).unwrap_err()
+        assert err.step == "probe.read" and err.peer.startswith("http://")
+
+
+async def test_hanging_endpoint_is_given_up_in_time():
+    loop = asyncio.get_running_loop()
+    for data in (b"", b"HTTP/1.1 200 OK\r\n", answer(GOOD)[:-5]):
+        began_s = loop.time()
+        err = (await read(data, hang=True)).unwrap_err()
+        assert "no answer" in err.reason
+        assert loop.time() - began_s < 0.6
+
+
+async def test_refused_connection_is_an_error():
+    async with serving(b"") as url:
+        pass
+    async with probe.Probe(0.3) as reader:
+        assert (await reader.read(url)).is_err()
--- /dev/null
+++ b/tests/policy/test_slot_owner.py
@@ -0,0 +1,188 @@
+"""Guards against an owner that gives slots it must not give yet."""
+
+import msgspec
+from support import slot_world
+
+from bramleyworks.document import upstream
+from bramleyworks.policy import probe_reading
+from bramleyworks.policy import slot_outcome
+from bramleyworks.policy import slot_owner
+
+OK = slot_outcome.SlotOutcome.OK
+FAILED = slot_outcome.SlotOutcome.FAILED
+KEY = ("s", "v1", "A")
+NAMES = ("a1", "a2", "a3", "a4")
+
+
+def make_owner(sizes, now_s=0.0, settled=True, **fields):
+    owner = slot_owner.SlotOwner("vm.1", "A")
+    doc = slot_world.make_document(sizes, **fields)
+    owner.configure(doc, now_s)
+    owner.set_owned(frozenset(sizes), now_s)
+    if settled:
+        owner.expire(now_s + 31.0)
+    return owner, doc
+
+
+def reading(busy=0, status="ok", version="v1"):
+    return probe_reading.ProbeReading(status, busy, 5, version)
+
+
+def fill(owner, now_s, key=KEY, limit=100, **kwargs):
+    uses = []
+    while len(uses) < limit:
+        use = owner.take(key, "x", (), now_s, **kwargs)
+        if use is None:
+            return uses
+        uses.append(use)
+    raise AssertionError("more slots than expected")
+
+
+def test_new_owner_uses_only_slots_that_the_load_endpoint_shows_free():
+    owner, _ = make_owner({"a1": 5}, settled=False)
+    assert fill(owner, 1.0) == []
+    owner.on_probe("a1", reading(3), 4.0, 4.0)
+    assert len(fill(owner, 4.0)) == 2
+    # The two show up as busy now; that must not count against them twice.
+    owner.on_probe("a1", reading(5), 5.0, 5.0)
+    assert fill(owner, 5.0) == []
+    assert len(fill(owner, 31.0)) == 3
+
+
+def test_readings_right_after_a_takeover_may_be_older_than_it():
+    owner, _ = make_owner({"a1": 5}, settled=False)
+    owner.on_probe("a1", reading(0), 2.9, 3.1)
+    assert fill(owner, 3.2) == []
+    owner.on_probe("a1", reading(4), 3.0, 3.5)
+    assert len(fill(owner, 3.6)) == 1
+
+
+def test_frozen_reading_that_misses_own_requests_is_not_believed():
+    owner, _ = make_owner({"a1": 5}, settled=False)
+    owner.on_probe("a1", reading(2), 4.0, 4.0)
+    assert len(fill(owner, 4.0)) == 3
+    owner.release(slot_owner.id_base("vm.1") + 1, OK, 5.0)
+    owner.on_probe("a1", reading(0), 9.0, 9.0)
+    assert fill(owner, 9.1) == []
+
+
+def test_upstream_of_a_later_document_starts_cold():
+    owner, doc = make_owner({"a1": 5}, warmup_s=10.0)
+    added = upstream.Upstream("a2", "s", "v1", "A", "f", "http://a2", 5)
+    doc = msgspec.structs.replace(doc, upstreams=(*doc.upstreams, added))
+    owner.configure(doc, 100.0)
+    owner.set_owned(frozenset({"a1", "a2"}), 101.0)
+    for at_s in (104.0, 105.0):
+        owner.on_probe("a2", reading(0), at_s, at_s)
+    taken = [use.upstream for use in fill(owner, 104.0)]
+    assert taken.count("a2") == 2
+    taken += [use.upstream for use in fill(owner, 106.1)]
+    assert taken.count("a2") == 3
+    taken += [use.upstream for use in fill(owner, 111.1)]
+    assert taken.count("a2") == 5
+
+
+def test_upstream_back_from_draining_starts_cold():
+    owner, _ = make_owner({"a1": 5}, warmup_s=10.0)
+    owner.on_probe("a1", reading(status="draining"), 40.0, 40.0)
+    assert fill(owner, 40.0) == []
+    owner.on_probe("a1", reading(), 50.0, 50.0)
+    assert len(fill(owner, 50.0)) == 1
+
+
+def test_failing_upstream_returns_through_one_trial_at_a_time():
+    owner, _ = make_owner({"a1": 5}, warmup_s=10.0)
+    for _ in range(3):
+        owner.release(owner.take(KEY, "x", (), 40.0).use_id, FAILED, 40.0)
+    assert fill(owner, 40.5) == []
+    trial = fill(owner, 41.1)
+    assert len(trial) == 1 and trial[0].trial
+    owner.release(trial[0].use_id, FAILED, 41.2)
+    assert fill(owner, 42.5) == [], "the pause did not double"
+    trial = fill(owner, 43.3)
+    owner.release(trial[0].use_id, OK, 43.4)
+    assert len(fill(owner, 43.5)) == 1, "it did not start cold"
+
+
+def test_failed_probes_alone_exclude_at_most_half():
+    owner, _ = make_owner(dict.fromkeys(NAMES, 2))
+    for at_s in (40.0, 41.0, 42.0, 42.5):
+        for name in NAMES:
+            owner.on_probe(name, None, at_s, at_s)
+    out = [n for n in NAMES if owner.health_of(n).out]
+    assert len(out) == 2
+    assert {u.upstream for u in fill(owner, 42.6)} == set(NAMES) - set(out)
+
+
+def test_draining_has_no_such_limit_and_wrong_version_is_a_failed_probe():
+    owner, _ = make_owner(dict.fromkeys(NAMES, 2))
+    for name in NAMES:
+        owner.on_probe(name, reading(version="v9"), 40.0, 40.0)
+        assert owner.health_of(name).probe_failures == 1
+        owner.on_probe(name, reading(status="draining"), 41.0, 41.0)
+    assert fill(owner, 41.0) == []
+
+
+def test_reserve_stays_free_for_the_region_of_the_upstream():
+    owner, _ = make_owner({"a1": 3, "a2": 2}, reserve_slots=2)
+    assert len(fill(owner, 40.0, foreign=True)) == 3
+    assert len(fill(owner, 40.0)) == 2
+
+
+def test_small_share_of_a_new_version_fills_one_upstream_first():
+    owner, doc = make_owner(dict.fromkeys(NAMES, 3))
+    doc = msgspec.structs.replace(
+        doc,
+        upstreams=tuple(
+            msgspec.structs.replace(u, version="v1" if i == 0 else "v2")
+            for i, u in enumerate(doc.upstreams)
+        ),
+    )
+    owner.configure(doc, 40.0)
+    key = ("s", "v2", "A")
+    for i in range(1000):
+        owner.count_request("s", "v2" if i % 50 == 0 else "v1", 140.0)
+    assert owner.is_small("s", "v2") and not owner.is_small("s", "v1")
+    for at_s in (141.0, 145.0):
+        for name in NAMES:
+            owner.on_probe(name, reading(), at_s, at_s)
+    taken = [use.upstream for use in fill(owner, 200.0, key)]
+    assert len(set(taken[:3])) == 1 and len(set(taken)) == 3
+    for _ in range(300):
+        owner.count_request("s", "v2", 201.0)
+    assert not owner.is_small("s", "v2")
+
+
+def test_uses_still_count_when_an_upstream_is_lost_and_taken_again():
+    owner, _ = make_owner({"a1": 5})
+    uses = fill(owner, 40.0)
+    owner.set_owned(frozenset(), 41.0)
+    owner.set_owned(frozenset({"a1"}), 42.0)
+    assert owner.used("a1") == 5
+    owner.release(uses[0].use_id, OK, 46.0)
+    owner.on_probe("a1", reading(4), 47.0, 47.0)
+    assert fill(owner, 47.0) == []
+
+
+def test_shorter_request_time_does_not_shorten_the_wait_for_old_loans():
+    owner, doc = make_owner({"a1": 5}, settled=False, max_request_s=30.0)
+    svc = msgspec.structs.replace(doc.services[0], max_request_s=1.0)
+    doc = msgspec.structs.replace(doc, services=(svc,))
+    owner.configure(doc, 1.0)
+    owner.set_owned(frozenset(), 1.0)
+    owner.set_owned(frozenset({"a1"}), 2.0)
+    assert fill(owner, 32.0) == []
+    assert len(fill(owner, 33.1)) == 5
+
+
+def test_document_without_the_upstream_keeps_the_count_until_release():
+    owner, doc = make_owner({"a1": 2, "a2": 2})
+    uses = fill(owner, 40.0)
+    less = msgspec.structs.replace(doc, upstreams=doc.upstreams[1:])
+    owner.configure(less, 41.0)
+    assert owner.used("a1") == 2
+    owner.configure(doc, 42.0)
+    assert fill(owner, 42.0) == []
+    for use in uses:
+        owner.release(use.use_id, OK, 43.0)
+    assert owner.used("a1") == 0
