--- a/src/bramleyworks/daemon/move_task.py
+++ b/src/bramleyworks/daemon/move_task.py
@@ -23,8 +23,8 @@
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import move
 from bramleyworks.policy import move_record
+from bramleyworks.policy import peer_rank
 from bramleyworks.policy import sample as sample_module
-from bramleyworks.policy import tickets
 
 MOVES_KEY = "moves"
 LEASE_NAME = "move-driver"
@@ -312,7 +312,7 @@
             for name, item in self._view.live.items()
             if item.beat.region == self._me.region
         ]
-        ranked = tickets.rank(MOVES_KEY, [*same, self._me.vm_id])
+        ranked = peer_rank.rank(MOVES_KEY, [*same, self._me.vm_id])
         return self._me.vm_id in ranked[:DRIVERS_PER_REGION]
 
     def _needs_driver(self) -> bool:
--- a/src/bramleyworks/daemon/ticket_desk.py
+++ b/src/bramleyworks/daemon/ticket_desk.py
@@ -1,6 +1,7 @@
 """The task that owns the tickets of this daemon."""
 
 import asyncio
+import itertools
 import time
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from bramleyworks.document import stored_config
 from bramleyworks.messages import ticket_handover
 from bramleyworks.policy import fleet_view
+from bramleyworks.policy import peer_rank
 from bramleyworks.policy import ticket_outcome
 from bramleyworks.policy import ticket_step
 from bramleyworks.policy import tickets
@@ -145,17 +147,19 @@
     async def hand_over(self) -> tuple[str, ...]:
         """Sends the outcomes to 2 peers, after running tickets have ended.
 
+        Nothing confirms the handover, so the link must stay open for about a
+        second afterwards; it drops what it has not sent when it closes.
+
         Returns:
             Names of the peers that were sent all parts.
         """
         self.close_unused()
         self._book.expire(self._clock())
-        entries = list(self._book.handover())
         peers = []
-        for vm_id in tickets.rank(self._issuer, self._holders(self._issuer)):
+        for vm_id in peer_rank.rank(self._issuer, self._holders(self._issuer)):
             if len(peers) == HANDOVER_PEERS:
                 break
-            if await self._send_parts(vm_id, entries):
+            if await self._send_parts(vm_id):
                 peers.append(vm_id)
         return tuple(peers)
 
@@ -195,7 +199,9 @@
         known = self._view.live.get(vm_id)
         if known is not None and known.beat.incarnation == incarnation:
             names.append(vm_id)
-        ranked = tickets.rank(issuer, [*self._holders(issuer), self._me.vm_id])
+        ranked = peer_rank.rank(
+            issuer, [*self._holders(issuer), self._me.vm_id]
+        )
         names += [
             name for name in ranked[:LOOKUP_PEERS] if name != self._me.vm_id
         ]
@@ -204,17 +210,17 @@
             for name in names
         )
 
-    async def _send_parts(
-        self, vm_id: str, entries: list[tuple[int, bytes]]
-    ) -> bool:
-        for first in range(0, len(entries), PART_ENTRIES):
-            part = ticket_handover.TicketHandover(
+    async def _send_parts(self, vm_id: str) -> bool:
+        entries = self._book.handover()
+        while part := dict(itertools.islice(entries, PART_ENTRIES)):
+            msg = ticket_handover.TicketHandover(
                 issuer=self._issuer,
-                entries=dict(entries[first : first + PART_ENTRIES]),
+                entries=part,
                 last_sequence=self._book.last_sequence,
             )
-            if not self._link.send(vm_id, part):
+            if not self._link.send(vm_id, msg):
                 return False
+            # Encoding 100,000 entries at once would hold up requests.
             await asyncio.sleep(0)
         return True
 
--- a/src/bramleyworks/policy/tickets.py
+++ b/src/bramleyworks/policy/tickets.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import hashlib
-from collections.abc import Iterable
 from collections.abc import Iterator
 
 import msgspec
@@ -419,18 +418,3 @@
         held = self._held.pop(issuer)
         self.size -= held.size
         self._count -= len(held.entries)
-
-
-def rank(issuer: str, vm_ids: Iterable[str]) -> list[str]:
-    """Orders VMs by rendezvous hash of the issuer, best first.
-
-    The stopping VM hands over to the first ones, and the others look there.
-    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
-    rates", IEEE/ACM Transactions on Networking 6(1), 1998.
-    """
-
-    def weight(vm_id: str) -> bytes:
-        text = f"{len(issuer)}:{issuer}{vm_id}"
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-    return sorted(vm_ids, key=lambda vm_id: (weight(vm_id), vm_id))
