--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,8 +1,10 @@
 """Guards the process harness: a leaked child would outlive the tests."""
 
 import asyncio
-import os
 import pathlib
+import subprocess
+import sys
+import time
 
 import pytest
 from support import fleet
@@ -15,10 +17,10 @@
 
 def _is_running(pid):
     try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
+        stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except FileNotFoundError:
         return False
-    return True
+    return stat.rpartition(")")[2].split()[0] != "Z"
 
 
 async def test_daemon_is_configured_signalled_and_always_ended(tmp_path):
@@ -47,3 +49,27 @@
     async with fleet.Fleet(tmp_path) as f:
         with pytest.raises(AssertionError, match="No such option"):
             await f.start_standin("up", "upstream", colour=1)
+
+
+_KILLED_PARENT = """
+import os, pathlib, signal, sys
+sys.path[:0] = sys.argv[2:]
+from support import child
+started = child.Child("idle", "asyncio", [], pathlib.Path(sys.argv[1]))
+started.pause()
+print(started.pid, flush=True)
+os.kill(os.getpid(), signal.SIGKILL)
+"""
+
+
+def test_paused_child_ends_with_a_test_run_that_is_killed(tmp_path):
+    done = subprocess.run(
+        [sys.executable, "-c", _KILLED_PARENT, tmp_path / "log", *sys.path],
+        stdout=subprocess.PIPE,
+        timeout=30,
+    )
+    pid = int(done.stdout)
+    end_s = time.monotonic() + 5.0
+    while _is_running(pid) and time.monotonic() < end_s:
+        time.sleep(0.05)
+    assert not _is_running(pid)
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -9,6 +9,10 @@
 from support import fleet
 
 from bramleyworks_standins import pattern
+from bramleyworks_standins import upstream_app
+
+# Upstreams start side by side, because a start takes longer than most tests.
+BATCH = 6
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -20,11 +24,23 @@
 
 
 @pytest_asyncio.fixture(loop_scope="module")
-async def up(flt):
-    """A fresh upstream with two slots and one place in its queue."""
-    await flt.start_upstream("up", slots=2, queue=1, mean_ms=1)
-    yield flt.urls["up"]
-    flt.children["up"].kill()
+async def up(flt, spares):
+    """A fresh upstream named up with two slots and one place in its queue."""
+    if not spares:
+        names = [f"up{len(flt.children) + i}" for i in range(BATCH)]
+        await asyncio.gather(
+            *(flt.start_upstream(n, slots=2, queue=1, mean_ms=1) for n in names)
+        )
+        spares.extend(names)
+    name = spares.pop()
+    flt.urls["up"] = flt.urls[name]
+    yield flt.urls[name]
+    flt.children[name].kill()
+
+
+@pytest.fixture(scope="module")
+def spares():
+    return []
 
 
 async def _call(flt, url, method="GET", **kwargs):
@@ -239,6 +255,15 @@
     await flt.wait_for(drained, "the lagging health answer", 5.0)
 
 
+async def test_run_long_after_a_drain_is_counted_as_an_offence(flt, up):
+    await flt.post(f"{up}/-/drain", {})
+    assert (await _call(flt, f"{up}/at-once"))[0] == 200
+    assert (await flt.runs("up"))["runs_after_drain"] == 0
+    await asyncio.sleep(upstream_app.DRAIN_GRACE_S + 0.1)
+    assert (await _call(flt, f"{up}/late"))[0] == 200
+    assert (await flt.runs("up"))["runs_after_drain"] == 1
+
+
 async def test_failing_health_endpoint(flt, up):
     await flt.faults("up", health="error")
     assert (await _call(flt, f"{up}/-/health"))[0] == 500
--- a/tests/support/child.py
+++ b/tests/support/child.py
@@ -61,18 +61,16 @@
         self.signal(signal.SIGTERM)
 
     def wait(self, timeout_s=STOP_S):
-        """Waits for the end; raises subprocess.TimeoutExpired."""
+        """Waits for the end and returns the exit code.
+
+        Raises:
+            subprocess.TimeoutExpired: The process still runs.
+        """
         return self._process.wait(timeout_s)
 
     def close(self):
-        """Ends the process in any case; repeated calls do nothing."""
-        if self.exit_code() is not None:
-            return
-        self.resume()
-        self.terminate()
-        try:
-            self.wait()
-        except subprocess.TimeoutExpired:
+        """Ends the process if it still runs."""
+        if self.exit_code() is None:
             self.kill()
 
     def log(self):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import pathlib
-import subprocess
 import time
 import uuid
 
@@ -90,14 +89,9 @@
         await self._stack.aclose()
 
     def _end_children(self):
-        # All get the signal first, so that they stop side by side.
+        # A daemon drains for seconds after SIGTERM; a test that is about
+        # graceful stops sends it and waits itself.
         for process in self._started:
-            if process.exit_code() is None:
-                process.resume()
-                process.terminate()
-        for process in self._started:
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                process.wait()
             process.close()
 
     def _start(self, name, module, args, python_path=()):
@@ -160,14 +154,17 @@
         await self.post(f"{self.urls['vm_list']}/vms", {"vms": vms})
 
     def settings(self, vm):
-        """Returns the settings of a daemon, section 2.2 of the page."""
+        """Returns the settings of a daemon, section 2.2 of the page.
+
+        The key ``address`` is left out, because the daemon refuses it as
+        unknown and takes its address from the section ``listen``.
+        """
         seeds = [other.peer for other in self.vms.values() if other is not vm]
         return {
             "vm": {
                 "id": vm.id,
                 "region": vm.region,
                 "failure_domain": vm.failure_domain,
-                "address": vm.http.rpartition(":")[0],
             },
             "listen": {"http": vm.http, "peer": vm.peer},
             "store": {"url": self.urls["store"]},
