Let the stand-in upstream answer with and without the request's id

Cause: a stale second answer without X-Request-Id and one that repeats the id of its own request meet different checks of a forwarder; the stand-in had only the first. Change: switch echo_id (on by default) for first and second answers.

--- a/src/bramleyworks_standins/upstream_app.py
+++ b/src/bramleyworks_standins/upstream_app.py
@@ -37,10 +37,6 @@
 DRAIN_GRACE_S = 3.0
 
 _STALE_BODY = b'{"stale": true}'
-_STALE_ANSWER = (
-    b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
-    b"content-length: %d\r\n\r\n%s" % (len(_STALE_BODY), _STALE_BODY)
-)
 
 
 class _Drain(msgspec.Struct, forbid_unknown_fields=True):
@@ -145,7 +141,7 @@
             await asyncio.sleep(plan.extra_after_ms / 1000)
             transport = tracked_protocol.transport_of(scope)
             if transport is not None and not transport.is_closing():
-                transport.write(_STALE_ANSWER)
+                transport.write(_stale_answer(self._echo_id(headers)))
 
     async def _run(self, scope, headers, echo, send) -> run_plan.RunPlan:
         deadline_s = _deadline_s(headers)
@@ -222,7 +218,7 @@
                 }
             )
         await _start(
-            send, 500 if plan.fails else 200, size, _request_id(headers)
+            send, 500 if plan.fails else 200, size, self._echo_id(headers)
         )
         to_send = size // 2 if plan.short else size
         for part in parts:
@@ -241,6 +237,13 @@
         slot.close()
         await send({"type": "http.response.body", "body": b""})
 
+    def _echo_id(self, headers) -> tuple[tuple[bytes, bytes], ...]:
+        """Returns the header that tells which request an answer belongs to."""
+        request_id = headers.get("x-request-id")
+        if request_id is None or not self._faults.current.echo_id:
+            return ()
+        return ((b"x-request-id", request_id.encode("latin-1")),)
+
     def _give_back(self) -> None:
         self._pool.release()
         self._health.on_state(self._faults.current)
@@ -266,12 +269,14 @@
     return max(0.0, deadline_s - time.monotonic())
 
 
-def _request_id(headers) -> tuple[tuple[bytes, bytes], ...]:
-    """Returns the header that tells which request an answer belongs to."""
-    request_id = headers.get("x-request-id")
-    if request_id is None:
-        return ()
-    return ((b"x-request-id", request_id.encode("latin-1")),)
+def _stale_answer(echo: tuple[tuple[bytes, bytes], ...]) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+    for name, value in (
+        *echo,
+        (b"content-length", b"%d" % len(_STALE_BODY)),
+    ):
+        head += name + b": " + value + b"\r\n"
+    return head + b"\r\n" + _STALE_BODY
 
 
 def _json_body(content: dict) -> tuple[int, Iterable[bytes]]:
--- a/src/bramleyworks_standins/upstream_faults.py
+++ b/src/bramleyworks_standins/upstream_faults.py
@@ -30,6 +30,8 @@
         extra_share: Share of answers followed by a second answer, which a
             reused connection would deliver to its next request.
         extra_after_ms: Time from the answer to the second one.
+        echo_id: Whether answers, also second ones, repeat ``X-Request-Id``;
+            not subject to the conditions.
     """
 
     health: Literal["true", "lag", "freeze", "lie", "error"] = "true"
@@ -46,3 +48,4 @@
     short_share: float = 0.0
     extra_share: float = 0.0
     extra_after_ms: float = 0.0
+    echo_id: bool = True
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -167,15 +167,23 @@
     assert (await _call(flt, f"{up}/stock"))[0] == 200
 
 
-async def test_extra_answer_reaches_the_next_request_of_a_pool(flt, up):
+@pytest.mark.parametrize("echo_id", [True, False])
+async def test_extra_answer_reaches_the_next_request_of_a_pool(
+    flt, up, echo_id
+):
     """The fault exists: a plain client takes the stale answer for its own."""
-    await flt.faults("up", extra_share=1.0, extra_after_ms=50)
-    assert b'"path":"/first"' in (await _call(flt, f"{up}/first"))[1]
-
-    async def is_stale():
-        return b"stale" in (await _call(flt, f"{up}/second"))[1]
-
-    await flt.wait_for(is_stale, "the stale answer", 5.0)
+    await flt.faults("up", extra_share=1.0, extra_after_ms=50, echo_id=echo_id)
+
+    async def stale_id():
+        own = {"X-Request-Id": "second"}
+        async with flt.http.get(f"{up}/second", headers=own) as resp:
+            if b"stale" in await resp.read():
+                return resp.headers.get("X-Request-Id", "none")
+
+    first = await _call(flt, f"{up}/first", headers={"X-Request-Id": "first"})
+    assert b'"path":"/first"' in first[1]
+    found = await flt.wait_for(stale_id, "the stale answer", 5.0)
+    assert (found != "none") == echo_id
 
 
 async def test_late_answer_gives_back_its_slot_before(flt, up):
