--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -9,6 +9,10 @@
 from support import fleet
 
 from bramleyworks_standins import pattern
+from bramleyworks_standins import upstream_app
+
+# Upstreams start side by side, because a start takes longer than most tests.
+BATCH = 6
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -20,11 +24,23 @@
 
 
 @pytest_asyncio.fixture(loop_scope="module")
-async def up(flt):
-    """A fresh upstream with two slots and one place in its queue."""
-    await flt.start_upstream("up", slots=2, queue=1, mean_ms=1)
-    yield flt.urls["up"]
-    flt.children["up"].kill()
+async def up(flt, spares):
+    """A fresh upstream named up with two slots and one place in its queue."""
+    if not spares:
+        names = [f"up{len(flt.children) + i}" for i in range(BATCH)]
+        await asyncio.gather(
+            *(flt.start_upstream(n, slots=2, queue=1, mean_ms=1) for n in names)
+        )
+        spares.extend(names)
+    name = spares.pop()
+    flt.urls["up"] = flt.urls[name]
+    yield flt.urls[name]
+    flt.children[name].kill()
+
+
+@pytest.fixture(scope="module")
+def spares():
+    return []
 
 
 async def _call(flt, url, method="GET", **kwargs):
@@ -151,15 +167,23 @@
     assert (await _call(flt, f"{up}/stock"))[0] == 200
 
 
-async def test_extra_answer_reaches_the_next_request_of_a_pool(flt, up):
+@pytest.mark.parametrize("echo_id", [True, False])
+async def test_extra_answer_reaches_the_next_request_of_a_pool(
+    flt, up, echo_id
+):
     """The fault exists: a plain client takes the stale answer for its own."""
-    await flt.faults("up", extra_share=1.0, extra_after_ms=50)
-    assert b'"path":"/first"' in (await _call(flt, f"{up}/first"))[1]
+    await flt.faults("up", extra_share=1.0, extra_after_ms=50, echo_id=echo_id)
 
-    async def is_stale():
-        return b"stale" in (await _call(flt, f"{up}/second"))[1]
+    async def stale_id():
+        own = {"X-Request-Id": "second"}
+        async with flt.http.get(f"{up}/second", headers=own) as resp:
+            if b"stale" in await resp.read():
+                return resp.headers.get("X-Request-Id", "none")
 
-    await flt.wait_for(is_stale, "the stale answer", 5.0)
+    first = await _call(flt, f"{up}/first", headers={"X-Request-Id": "first"})
+    assert b'"path":"/first"' in first[1]
+    found = await flt.wait_for(stale_id, "the stale answer", 5.0)
+    assert (found != "none") == echo_id
 
 
 async def test_late_answer_gives_back_its_slot_before(flt, up):
@@ -239,6 +263,15 @@
     await flt.wait_for(drained, "the lagging health answer", 5.0)
 
 
+async def test_run_long_after_a_drain_is_counted_as_an_offence(flt, up):
+    await flt.post(f"{up}/-/drain", {})
+    assert (await _call(flt, f"{up}/at-once"))[0] == 200
+    assert (await flt.runs("up"))["runs_after_drain"] == 0
+    await asyncio.sleep(upstream_app.DRAIN_GRACE_S + 0.1)
+    assert (await _call(flt, f"{up}/late"))[0] == 200
+    assert (await flt.runs("up"))["runs_after_drain"] == 1
+
+
 async def test_failing_health_endpoint(flt, up):
     await flt.faults("up", health="error")
     assert (await _call(flt, f"{up}/-/health"))[0] == 500
