Keep edits made during an apply and name a drain of over 30% of slots

Cause: a draft was dropped after its apply even if another tab had edited it, and two first requests of a session could overwrite each other's draft. The warning about drains came only above half of the slots. Change: later edits stay as a draft on the new version; the draft is looked up again after the store read; the warning comes above 30%, because the measures hold at 70% load. Routes without organisations show 'all'. Measured: 22 console tests pass (21 before); the new one fails without the change to the draft.

--- a/src/bramleyworks/console/console_state.py
+++ b/src/bramleyworks/console/console_state.py
@@ -51,6 +51,9 @@
         answer = await config_writer.read(state.store, state.peer)
         if answer.is_err():
             raise answer.unwrap_err()
+        # Another request of the session may have begun the draft meanwhile.
+        current = state.drafts.get(session)
+    if current is None:
         stored, _ = answer.unwrap()
         base = stored.doc if stored else document.Document()
         current = draft.Draft(stored.version if stored else 0, base, base)
--- a/src/bramleyworks/console/field_spec.py
+++ b/src/bramleyworks/console/field_spec.py
@@ -25,6 +25,7 @@
             ``checks`` is a set of check boxes, ``time`` is a UTC time.
         hint: Unit and bounds.
         options: Values to choose from, or to suggest for ``text``.
+        empty: What no value means, for tables.
     """
 
     name: str
@@ -34,3 +35,4 @@
     ] = "text"
     hint: str = ""
     options: Options = no_options
+    empty: str = ""
--- a/src/bramleyworks/console/review_views.py
+++ b/src/bramleyworks/console/review_views.py
@@ -57,10 +57,16 @@
         state.applying.discard(session)
     if written.is_err():
         return await _failed(written.unwrap_err(), request, current)
-    state.drafts.drop(session)
-    return responses.RedirectResponse(
-        f"/status?written={written.unwrap().version}", 303
-    )
+    stored = written.unwrap()
+    latest = state.drafts.get(session)
+    if latest is None or latest.doc == current.doc:
+        state.drafts.drop(session)
+    else:
+        # Edits made during the apply are kept, now based on its result.
+        state.drafts.put(
+            session, draft.Draft(stored.version, stored.doc, latest.doc)
+        )
+    return responses.RedirectResponse(f"/status?written={stored.version}", 303)
 
 
 @functools.singledispatch
--- a/src/bramleyworks/console/sections.py
+++ b/src/bramleyworks/console/sections.py
@@ -119,6 +119,7 @@
                 "checks",
                 "none ticked: all organisations",
                 _organisations,
+                "all",
             ),
             _Field(
                 "idempotent_methods",
--- a/src/bramleyworks/document/review_warnings.py
+++ b/src/bramleyworks/document/review_warnings.py
@@ -5,9 +5,9 @@
 from bramleyworks.document import document
 from bramleyworks.document.rules import drain_rules
 
-# At 70% load, the level at which refusals are measured, draining half of the
-# slots leaves less than the load needs.
-DRAINED_PART = 0.5
+# At 70% load, the level at which wrongful refusals are measured, a service
+# needs more slots than are left when over 30% are drained.
+DRAINED_PART = 0.3
 UNSAFE_METHODS = frozenset(("POST", "PATCH"))
 
 
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -115,6 +115,28 @@
     assert "rate_per_s changed from 100 to 150" in browser.get("/audit")
 
 
+def test_an_edit_during_an_apply_is_kept(browser, monkeypatch):
+    put = browser.store.put
+
+    async def put_and_edit(key, value, expected_revision):
+        drafts = browser.client.app.state.console.drafts
+        session, current = next(iter(drafts._drafts.items()))
+        drafts.put(session, current.without_item("client_blocks", 0))
+        return await put(key, value, expected_revision)
+
+    browser.get("/draft/organisations/0")
+    browser.post("/draft/organisations/0", **_organisation())
+    monkeypatch.setattr(browser.store, "put", put_and_edit)
+    browser.apply()
+    monkeypatch.undo()
+    assert "Draft from version 2,\n1 change not applied" in browser.get(
+        "/draft"
+    )
+    browser.apply()
+    assert browser.in_force().doc.client_blocks == ()
+    assert browser.in_force().doc.organisations[0].rate_per_s == 150
+
+
 def test_an_unchanged_form_changes_nothing(browser):
     """Values shown rounded or in another time zone must survive."""
     edits = [(("moves",), [sample_document.move(start_s=1e9 + 0.123456)])]
