--- a/src/bramleyworks/document/rules/size_rules.py
+++ b/src/bramleyworks/document/rules/size_rules.py
@@ -7,7 +7,7 @@
 from bramleyworks.document.rules import field_rules
 
 SCHEMA = 1
-# The store holds values up to 1 MB. Fifty history entries of at most 600 bytes
+# The store holds values up to 1 MB. Fifty history entries of at most 900 bytes
 # and the fields around the document take less than the margin.
 STORE_VALUE_BYTES = 1_000_000
 HISTORY_MARGIN_BYTES = 50_000
--- a/src/bramleyworks/platform/config_writer.py
+++ b/src/bramleyworks/platform/config_writer.py
@@ -197,10 +197,12 @@
             last = f"version {version} is in force and its history is shorter"
             break
         if not lost:
-            return _not_written(cause)
+            break
         # The write may still be on its way, so the base version alone does not
         # prove that it failed.
         last = f"version {version} was in force at the last read"
+    if not lost:
+        return _not_written(cause)
     return result.Err(
         apply_errors.OutcomeUnknownError(
             peer,
--- a/tests/platform/test_config_writer.py
+++ b/tests/platform/test_config_writer.py
@@ -155,6 +155,20 @@
     assert 100 - store.failing_reads_after_put == config_writer.READ_TRIES
 
 
+async def test_a_refused_write_did_not_happen_even_if_reads_fail(store):
+    await _apply(store, 0, apply_id="id0")
+
+    async def put(key, value, expected_revision):
+        store.put_called.set()
+        raise errors.StoreConflictError("store.put", "fake", "config")
+
+    store.put_called.clear()
+    store.put = put
+    store.failing_reads_after_put = 100
+    exc = (await _apply(store, 1, apply_id="id1")).unwrap_err()
+    assert isinstance(exc, apply_errors.NotWrittenError)
+
+
 async def test_a_store_that_is_down_before_the_write_is_not_written(store):
     store.down = True
     exc = (await _apply(store, 0)).unwrap_err()
