Play all scenarios with both policies in one table

Cause: make bench had no command. Change: tools/bench.py runs experiments as processes and prints the table.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(VENV)/bin/python -m pytest
 
 bench: $(VENV)/ready
-	$(VENV)/bin/python -m bramleyworks_lab.bench
+	$(VENV)/bin/python tools/bench.py
 
 capacity: $(VENV)/ready
 	$(VENV)/bin/python -m bramleyworks_lab.capacity
--- a/src/bramleyworks_lab/figures.py
+++ b/src/bramleyworks_lab/figures.py
@@ -62,7 +62,8 @@
         """Measures how long a version takes to reach every VM."""
         began_s = self._world.clock()
         known = [vm for vm in vms.values() if hasattr(vm, "config")]
-        while any(vm.config.version < version for vm in known):
+        # The model polls: the tasks under test announce nothing to it.
+        while any(vm.config.version < version for vm in known):  # noqa: ASYNC110
             await asyncio.sleep(POLL_S)
         if known:
             self._in_force_s = self._world.clock() - began_s
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,130 @@
+"""Plays all scenarios with both policies and prints one table."""
+
+import concurrent.futures
+import json
+import os
+import subprocess
+import sys
+
+import click
+
+from bramleyworks_lab import deployment
+from bramleyworks_lab import scenario
+
+TIMEOUT_S = 240
+COLUMNS = (
+    ("p50_ms", "p50ms", "{:.0f}"),
+    ("p99_ms", "p99ms", "{:.0f}"),
+    ("p99.9_ms", "p999ms", "{:.0f}"),
+    ("worst_p99_ms", "worst", "{:.0f}"),
+    ("worst_ratio", "ratio", "{:.2f}"),
+    ("worst_ok", "okmin", "{:.4f}"),
+    ("wrongful_per_million", "wrong/M", "{:.0f}"),
+    ("wrongful_rate_per_million", "rate/M", "{:.0f}"),
+    ("failed", "failed", "{:d}"),
+    ("free_part", "free", "{:.2f}"),
+    ("over_slots", "ovslot", "{:d}"),
+    ("over_region", "ovregn", "{:d}"),
+    ("over_rate", "ovrate", "{:.1f}"),
+    ("over_shift", "ovshift", "{:.0f}"),
+    ("shifted", "shifted", "{:d}"),
+    ("drain_s", "drain_s", "{:.1f}"),
+    ("in_force_s", "force_s", "{:.2f}"),
+    ("verdict", "verdict", "{}"),
+    ("bad_share", "bad%", "{:.2%}"),
+    ("after_cut", "after", "{:d}"),
+)
+
+
+def play(job: tuple[str, str, str, int], seconds: float) -> dict:
+    """Plays one experiment as a process of its own."""
+    name, plan, policy, seed = job
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bramleyworks_lab.experiment",
+            "--deployment",
+            name,
+            "--scenario",
+            plan,
+            "--policy",
+            policy,
+            "--seed",
+            str(seed),
+            "--seconds",
+            str(seconds),
+        ],
+        env={**os.environ, "PYTHONPATH": "src"},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    if done.returncode:
+        last = done.stderr.strip().splitlines()[-1:]
+        return {
+            "deployment": name,
+            "scenario": plan,
+            "policy": policy,
+            "seed": seed,
+            "error": last[0] if last else "no output",
+        }
+    return json.loads(done.stdout.splitlines()[-1])
+
+
+def row(found: dict) -> str:
+    """Returns one line of the table."""
+    head = (
+        f"{found['deployment']:8s}{found['scenario']:15s}"
+        f"{found['policy']:6s}{found['seed']:3d}"
+    )
+    if "error" in found:
+        return f"{head} error: {found['error']}"
+    cells = []
+    for key, title, form in COLUMNS:
+        value = found.get(key)
+        text = "-" if value is None else form.format(value)
+        cells.append(text.rjust(max(len(title), 6) + 1))
+    return head + "".join(cells)
+
+
+@click.command()
+@click.option("--seeds", default=1, help="Seeds of each experiment.")
+@click.option("--first-seed", default=1)
+@click.option("--only", default="", help="Scenarios, separated by commas.")
+@click.option("--deployments", default=",".join(deployment.ALL))
+@click.option("--policies", default="ours,naive")
+@click.option("--seconds", default=0.0, help="0 for each scenario's own time.")
+@click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2))
+def main(
+    seeds: int,
+    first_seed: int,
+    only: str,
+    deployments: str,
+    policies: str,
+    seconds: float,
+    workers: int,
+) -> None:
+    """Prints the table; the exit code is 1 if an experiment failed."""
+    plans = only.split(",") if only else list(scenario.ALL)
+    jobs = [
+        (name, plan, policy, seed)
+        for plan in plans
+        for name in deployments.split(",")
+        for policy in policies.split(",")
+        for seed in range(first_seed, first_seed + seeds)
+    ]
+    titles = "".join(
+        title.rjust(max(len(title), 6) + 1) for _, title, _ in COLUMNS
+    )
+    click.echo(f"{'firm':8s}{'scenario':15s}{'policy':6s}  #{titles}")
+    failed = False
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        for found in pool.map(lambda job: play(job, seconds), jobs):
+            failed = failed or "error" in found
+            click.echo(row(found))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
