Keep answers apart on reused connections; name serving VMs in look-ups

Cause: an upstream that does not repeat the request's id and answers twice could give its late second answer to the next request on the connection; the look-up of a cut-off VM named itself, so its callers came back to refusals. Change: connections are reused only for upstreams that repeat X-Request-Id, and a missing id there counts as a mismatch; heartbeats say whether a VM serves keyed routes, and a VM that knows of none names listed VMs. Measured: test_forwarder failed before (foreign answer with 200) and passes.

--- a/src/bramleyworks/daemon/config_task.py
+++ b/src/bramleyworks/daemon/config_task.py
@@ -99,6 +99,10 @@
         """Returns whether routes that need a key may be served."""
         return freshness.is_fresh(self._confirmed_s, now_s)
 
+    def is_fresh_now(self) -> bool:
+        """Returns whether routes that need a key may be served now."""
+        return self.is_fresh(self._clock())
+
     def on_config(self, stored: stored_config.StoredConfig) -> None:
         """Does nothing; this task is the source of configurations."""
 
--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -40,7 +40,6 @@
 from bramleyworks.policy import entry
 from bramleyworks.policy import entry_vm
 from bramleyworks.policy import member_table
-from bramleyworks.policy import site
 
 # Callers keep a look-up for its lifetime; one second more covers its way.
 LOOKUP_DRAIN_S = entry.TTL_S + 1.0
@@ -228,14 +227,9 @@
         return self._front.running == 0 and self._desk.running == 0
 
     def _candidates(self) -> list[entry_vm.EntryVm]:
-        own = None
-        if not self._source.draining:
-            own = entry_vm.EntryVm(
-                self.me.vm_id,
-                self.me.http,
-                site.Site(self.me.region, self.me.failure_domain),
-            )
-        return entry.candidates(self._members.view(), own)
+        return self._members.candidates(
+            not self._source.draining and self._config.is_fresh_now()
+        )
 
     def _issue(self, key: bytes) -> str | refusal.Refusal:
         table = self._front.table
--- a/src/bramleyworks/daemon/forwarder.py
+++ b/src/bramleyworks/daemon/forwarder.py
@@ -27,6 +27,10 @@
         self._stack = contextlib.AsyncExitStack()
         self._pooled: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
+        # Upstreams whose last answer repeated the request's id. Only on their
+        # connections can a late answer to an earlier request be told from
+        # the right one, so only these connections are used again.
+        self._repeats_id: set[str] = set()
 
     async def open(self) -> None:
         """Opens the connection pools."""
@@ -83,11 +87,12 @@
             target: Path and query as the caller sent them.
             headers: End-to-end headers.
             body: The body, None for none.
-            idempotent: Whether a pooled connection may be used. On a pooled
-                connection that the upstream closes meanwhile it would stay
-                unknown whether a request was run.
+            idempotent: Whether a connection may be used again. On one that
+                the upstream closes meanwhile it would stay unknown whether a
+                request was run.
         """
-        session = self._pooled if idempotent else self._single
+        is_pooled = idempotent and peer in self._repeats_id
+        session = self._pooled if is_pooled else self._single
         url = yarl.URL(base_url + target, encoded=True)
         try:
             answer = await session.request(
@@ -101,31 +106,41 @@
             return _failure(peer, exc, not_run=True)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return _failure(peer, exc, not_run=False)
-        return await _checked(peer, headers, answer)
-
-
-async def _checked(
-    peer: str,
-    headers: multidict.CIMultiDict[str],
-    answer: aiohttp.ClientResponse,
-) -> Answer:
-    """Refuses an answer that is a shed notice or another request's."""
-    request_id = headers.get(REQUEST_ID_HEADER)
-    if answer.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
-        answer.close()
-        return result.Err(
-            forward_failure.ForwardFailure(
-                False, peer, "the answer belongs to another request"
-            )
-        )
-    if answer.status == 503 and answer.headers.get(NOT_RUN_HEADER) == "1":
-        answer.release()
-        return result.Err(
-            forward_failure.ForwardFailure(
-                True, peer, "the upstream shed the request", shed=True
+        return self._checked(peer, headers, answer, is_pooled)
+
+    def _checked(
+        self,
+        peer: str,
+        headers: multidict.CIMultiDict[str],
+        answer: aiohttp.ClientResponse,
+        is_pooled: bool,
+    ) -> Answer:
+        """Refuses an answer that is a shed notice or another request's."""
+        wanted = headers.get(REQUEST_ID_HEADER)
+        found = answer.headers.get(REQUEST_ID_HEADER)
+        if found == wanted:
+            self._repeats_id.add(peer)
+        else:
+            self._repeats_id.discard(peer)
+            if is_pooled or found is not None:
+                answer.close()
+                return _mismatch(peer)
+        if answer.status == 503 and answer.headers.get(NOT_RUN_HEADER) == "1":
+            answer.release()
+            return result.Err(
+                forward_failure.ForwardFailure(
+                    True, peer, "the upstream shed the request", shed=True
+                )
             )
+        return result.Ok(answer)
+
+
+def _mismatch(peer: str) -> Answer:
+    return result.Err(
+        forward_failure.ForwardFailure(
+            False, peer, "the answer belongs to another request"
         )
-    return result.Ok(answer)
+    )
 
 
 def _failure(peer: str, exc: BaseException, not_run: bool) -> Answer:
--- a/src/bramleyworks/daemon/heartbeat_builder.py
+++ b/src/bramleyworks/daemon/heartbeat_builder.py
@@ -58,4 +58,5 @@
             echo=echo,
             echo_hold_s=echo_hold_s,
             joined=self._config.joined,
+            serving=self._config.is_fresh_now(),
         )
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -14,9 +14,12 @@
 from bramleyworks.messages import heartbeat
 from bramleyworks.platform import listed_vm
 from bramleyworks.platform import vm_list
+from bramleyworks.policy import entry
+from bramleyworks.policy import entry_vm
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import member_table
 from bramleyworks.policy import relay_tree
+from bramleyworks.policy import site
 
 HEARTBEAT_S = 1.0
 RANDOM_PEERS = 2
@@ -51,6 +54,7 @@
         self._sequence = 0
         self._listed: frozenset[str] | None = None
         self._leaving: frozenset[str] = frozenset()
+        self._entry_vms: tuple[entry_vm.EntryVm, ...] = ()
         self._listeners: list[Callable[[fleet_view.FleetView], None]] = []
         self._beat_listeners: list[Callable[[heartbeat.Heartbeat], None]] = []
         link.register(heartbeat.Heartbeat, self._on_heartbeat)
@@ -71,6 +75,21 @@
         """Returns the view of the fleet now."""
         return self._table.view(self._clock(), self._listed, self._leaving)
 
+    def candidates(self, serves: bool) -> list[entry_vm.EntryVm]:
+        """Returns the VMs that a look-up may name.
+
+        Args:
+            serves: Whether this VM may be named.
+        """
+        own = entry_vm.EntryVm(
+            self._me.vm_id,
+            self._me.http,
+            site.Site(self._me.region, self._me.failure_domain),
+        )
+        return entry.candidates(
+            self.view(), own if serves else None, self._entry_vms
+        )
+
     async def run(self) -> None:
         """Sends heartbeats and reads the list until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -144,6 +163,15 @@
         self._leaving = frozenset(
             item.id for item in listed if item.state == "leaving"
         )
+        self._entry_vms = tuple(
+            entry_vm.EntryVm(
+                item.id,
+                item.http,
+                site.Site(item.region, item.failure_domain),
+            )
+            for item in listed
+            if item.state == "live"
+        )
         known = self._table.members()
         for item in listed:
             if item.id == self._me.vm_id or item.id in known:
--- a/src/bramleyworks/messages/heartbeat.py
+++ b/src/bramleyworks/messages/heartbeat.py
@@ -25,6 +25,7 @@
             for none.
         echo_hold_s: Seconds between receiving that heartbeat and sending
             this one.
+        serving: Whether it serves routes that need a key now.
         joined: Whether it has had fresh evidence for its configuration since
             it started; before that it may hold an old one.
     """
@@ -46,3 +47,4 @@
     echo: int = 0
     echo_hold_s: float = 0.0
     joined: bool = False
+    serving: bool = True
--- a/src/bramleyworks/policy/entry.py
+++ b/src/bramleyworks/policy/entry.py
@@ -14,13 +14,20 @@
 
 
 def candidates(
-    view: fleet_view.FleetView, own: entry_vm.EntryVm | None
+    view: fleet_view.FleetView,
+    own: entry_vm.EntryVm | None,
+    listed: Iterable[entry_vm.EntryVm],
 ) -> list[entry_vm.EntryVm]:
     """Returns the VMs that a look-up may name.
 
+    A VM that is cut off knows of no VM that serves, itself included. It then
+    names the VMs on the platform's list that it does not hear, because
+    callers may still reach them.
+
     Args:
         view: The fleet as this daemon sees it.
-        own: This VM, None while it drains.
+        own: This VM, None while it drains or does not serve.
+        listed: VMs on the platform's list that are not leaving.
     """
     found = [
         entry_vm.EntryVm(
@@ -29,11 +36,19 @@
             site.Site(item.beat.region, item.beat.failure_domain),
         )
         for name, item in view.live.items()
-        if not item.beat.draining and name not in view.leaving
+        if item.beat.serving
+        and not item.beat.draining
+        and name not in view.leaving
     ]
     if own is not None and own.vm_id not in view.leaving:
         found.append(own)
-    return found
+    if found:
+        return found
+    return [
+        vm
+        for vm in listed
+        if vm.vm_id != view.self_id and vm.vm_id not in view.live
+    ]
 
 
 def choose(
--- a/src/bramleyworks_lab/bare_upstream.py
+++ b/src/bramleyworks_lab/bare_upstream.py
@@ -33,10 +33,18 @@
     if scope["path"].startswith("/documents/"):
         await _send_document(scope, send)
         return
-    await send(HEAD)
+    await send(_head(scope))
     await send({"type": "http.response.body", "body": BODY})
 
 
+def _head(scope: dict) -> dict:
+    """Repeats the request's id, as the page for upstreams asks."""
+    for name, value in scope["headers"]:
+        if name == b"x-request-id":
+            return HEAD | {"headers": [*HEAD["headers"], (name, value)]}
+    return HEAD
+
+
 async def _send_document(scope: dict, send) -> None:
     """Streams as many bytes as the last part of the path says."""
     size = int(scope["path"].rpartition("/")[2])
--- a/src/bramleyworks_lab/model_upstream.py
+++ b/src/bramleyworks_lab/model_upstream.py
@@ -10,7 +10,6 @@
 # Log-normal spread of the time of a request.
 SIGMA = 0.5
 COLD_FACTOR = 3.0
-COLD_AFTER_S = 10.0
 WARM_REQUESTS = 50
 # More requests than slots slow each other down: the excess waits in turn.
 LATE_FAULT_PART = 0.4
@@ -44,15 +43,21 @@
         self._start_s = start_s
         self._rng = rng
         self._gate = asyncio.Semaphore(spec.slots)
-        self._cold_left = WARM_REQUESTS if plan.cold else 0
-        self._ended_s = start_s
+        # A cache is warm for the region's own callers and cold for others.
+        self._cold_left: dict[str, int] = {}
         self.running = 0
         self.most_over = 0
         self.down = False
         self.draining = False
 
-    async def run(self, route: str, now_s: float) -> bool:
-        """Runs one request; returns whether it succeeded."""
+    async def run(self, route: str, source: str, now_s: float) -> bool:
+        """Runs one request; returns whether it succeeded.
+
+        Args:
+            route: Prefix of its route.
+            source: Region of its caller.
+            now_s: Current time.
+        """
         if self.down:
             return False
         self.running += 1
@@ -60,22 +65,22 @@
         is_faulty = self._is_faulty(route, now_s)
         try:
             async with self._gate:
-                await asyncio.sleep(self._time_s(now_s))
+                await asyncio.sleep(self._time_s(source))
         finally:
             self.running -= 1
         if self.down:
             return False
         return not (is_faulty and self._rng.random() < 0.5)
 
-    def _time_s(self, now_s: float) -> float:
+    def _time_s(self, source: str) -> float:
         spent_s = self._rng.lognormvariate(self._mu, SIGMA)
-        if self._plan.cold and now_s - self._ended_s > COLD_AFTER_S:
-            self._cold_left = WARM_REQUESTS
-        self._ended_s = now_s
-        if self._cold_left:
-            self._cold_left -= 1
-            return spent_s * COLD_FACTOR
-        return spent_s
+        if not self._plan.cold or source == self.spec.region:
+            return spent_s
+        left = self._cold_left.get(source, WARM_REQUESTS)
+        if left == 0:
+            return spent_s
+        self._cold_left[source] = left - 1
+        return spent_s * COLD_FACTOR
 
     def _is_faulty(self, route: str, now_s: float) -> bool:
         if not self._is_next:
--- a/src/bramleyworks_lab/model_vm.py
+++ b/src/bramleyworks_lab/model_vm.py
@@ -16,11 +16,9 @@
 from bramleyworks.daemon import slot
 from bramleyworks.daemon import slot_task
 from bramleyworks.platform import listed_vm
-from bramleyworks.policy import entry
 from bramleyworks.policy import entry_vm
 from bramleyworks.policy import member_table
 from bramleyworks.policy import sample
-from bramleyworks.policy import site
 from bramleyworks.policy import slot_outcome
 from bramleyworks_lab import model_network
 from bramleyworks_lab import model_probe
@@ -123,12 +121,7 @@
 
     def candidates(self) -> list[entry_vm.EntryVm]:
         """Returns the VMs that a look-up here may name."""
-        own = entry_vm.EntryVm(
-            self.me.vm_id,
-            self.me.http,
-            site.Site(self.me.region, self.me.failure_domain),
-        )
-        return entry.candidates(self._members.view(), own)
+        return self._members.candidates(self.config.is_fresh_now())
 
     async def serve(
         self, req: model_request.ModelRequest
@@ -180,7 +173,7 @@
         is_ok = False
         await asyncio.sleep(delay_s)
         if world.is_reachable(self.me.region, taken.region):
-            is_ok = await server.run(req.route, world.clock())
+            is_ok = await server.run(req.route, req.region, world.clock())
         await asyncio.sleep(delay_s)
         self.slots.release(
             taken,
--- a/src/bramleyworks_lab/naive_vm.py
+++ b/src/bramleyworks_lab/naive_vm.py
@@ -165,7 +165,7 @@
         await asyncio.sleep(delay_s)
         is_ok = world.is_reachable(
             self.me.region, spec.region
-        ) and await server.run(req.route, world.clock())
+        ) and await server.run(req.route, req.region, world.clock())
         await asyncio.sleep(delay_s)
         if any(move.to_version == spec.version for move in self._doc.moves):
             self._counts[0] += 1
--- a/src/bramleyworks_lab/scenario.py
+++ b/src/bramleyworks_lab/scenario.py
@@ -26,7 +26,7 @@
         fault: What fails, after a fifth of the time.
         heavy: Factor on the rate of the smallest organisation.
         version: How the next version behaves; ``"none"`` for no move.
-        cold: Whether servers are cold after not being used for a while.
+        cold: Whether servers are cold for callers of other regions.
     """
 
     name: str
@@ -52,7 +52,7 @@
         Scenario("region_cut", load=0.5, fault="region_cut"),
         Scenario("store_down", seconds=620.0, load=0.25, fault="store_down"),
         Scenario("frozen", fault="frozen"),
-        Scenario("cold", load=0.5, fault="drain", cold=True),
+        Scenario("cold", fault="drain", cold=True),
         Scenario("good", load=0.5, seconds=MOVE_S, version="good"),
         Scenario("bad_at_once", load=0.5, seconds=MOVE_S, version="at_once"),
         Scenario("bad_late", load=0.5, seconds=MOVE_S, version="late"),
--- /dev/null
+++ b/tests/daemon/test_forwarder.py
@@ -0,0 +1,97 @@
+"""Guards against answers that reach another request."""
+
+import asyncio
+import contextlib
+
+import multidict
+import pytest
+
+from bramleyworks.daemon import forwarder
+
+
+class DoubleAnswer:
+    """An upstream that answers each request twice, the second time late."""
+
+    def __init__(self, repeats_id, late_s):
+        self.repeats_id = repeats_id
+        self.late_s = late_s
+        self.connections = 0
+        self.sends_second = True
+
+    async def handle(self, reader, writer):
+        self.connections += 1
+        pending = []
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                target = head.split()[1]
+                sent_id = head.split("X-Request-Id: ")[1].split("\r")[0]
+                echo = f"X-Request-Id: {sent_id}\r\n" if self.repeats_id else ""
+                answer = (
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(target)}\r\n"
+                    f"{echo}\r\n{target}"
+                ).encode()
+                writer.write(answer)
+                if self.sends_second:
+                    pending.append(
+                        asyncio.ensure_future(self._again(writer, answer))
+                    )
+        for task in pending:
+            task.cancel()
+        writer.close()
+
+    async def _again(self, writer, answer):
+        await asyncio.sleep(self.late_s)
+        writer.write(answer)
+
+
+@contextlib.asynccontextmanager
+async def running(upstream):
+    server = await asyncio.start_server(upstream.handle, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    forward = forwarder.Forwarder()
+    await forward.open()
+    try:
+        yield forward, f"http://127.0.0.1:{port}"
+    finally:
+        await forward.close()
+        server.close()
+
+
+async def ask(forward, url, number):
+    target = f"/item/{number}"
+    sent = await forward.send(
+        "u1",
+        url,
+        "GET",
+        target,
+        multidict.CIMultiDict({"X-Request-Id": f"r{number}"}),
+        None,
+        True,
+    )
+    if sent.is_err():
+        return None
+    response = sent.unwrap()
+    body = (await response.read()).decode()
+    response.release()
+    return body == target
+
+
+@pytest.mark.parametrize("repeats_id", [True, False])
+@pytest.mark.parametrize("late_s", [0.0, 0.003])
+async def test_no_request_gets_an_answer_of_another(repeats_id, late_s):
+    upstream = DoubleAnswer(repeats_id, late_s)
+    async with running(upstream) as (forward, url):
+        for number in range(40):
+            assert await ask(forward, url, number) is not False
+            await asyncio.sleep(0.002 if number % 2 else 0)
+
+
+async def test_upstream_that_repeats_the_id_keeps_its_connection():
+    upstream = DoubleAnswer(True, 0.0)
+    upstream.sends_second = False
+    async with running(upstream) as (forward, url):
+        for number in range(10):
+            assert await ask(forward, url, number)
+    # The first answer shows that the upstream repeats the id.
+    assert upstream.connections <= 2
--- a/tests/policy/test_entry.py
+++ b/tests/policy/test_entry.py
@@ -2,8 +2,11 @@
 
 import collections
 
+from support import beats
+
 from bramleyworks.policy import entry
 from bramleyworks.policy import entry_vm
+from bramleyworks.policy import member_table
 from bramleyworks.policy import site
 
 SUDO = site.Site("sudo", "d1")
@@ -35,3 +38,21 @@
     )
     assert set(counts) == {"vm0", "vm1", "vm2"}
     assert min(counts.values()) > 800
+
+
+def test_a_cut_off_vm_names_listed_vms_that_it_does_not_hear():
+    """Guards against callers that are sent back to VMs that refuse them."""
+    table = member_table.MemberTable("vm0")
+    table.hear(beats.beat("vm1", serving=False), 10.0)
+    view = table.view(10.0, None, frozenset())
+    named = entry.candidates(view, None, VMS)
+    assert [vm.vm_id for vm in named] == ["vm2", "vm3", "vm4"]
+
+
+def test_only_serving_vms_are_named_while_there_are_any():
+    table = member_table.MemberTable("vm0")
+    table.hear(beats.beat("vm1", serving=False), 10.0)
+    table.hear(beats.beat("vm2"), 10.0)
+    view = table.view(10.0, None, frozenset())
+    named = entry.candidates(view, None, VMS)
+    assert [vm.vm_id for vm in named] == ["vm2"]
