Send a small share of a version to the same upstreams from all VMs

Cause: a VM took its own slot for a request of a new version although another upstream comes first, when its queue was served before the peer's answer; the share was also unknown until the version's first request. Change: such a request joins its own VM's queue 10 ms after the ask; requests of all versions are counted from the document on, also those of borrowers. The memory of asks is bounded to 15 s and 20,000 entries.

--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -44,6 +44,9 @@
 MAX_HOME_ASKS = 3
 # An owner in the region answers in about 2 ms.
 NEXT_ASK_S = 0.004
+# A small share goes to its own VM's slots only after the VMs that come first
+# had time to answer.
+OWN_SLOT_AFTER_S = 0.01
 MIN_WAIT_S = 0.001
 RECHECK_S = 0.25
 SHIFT_RETRY_S = 0.1
@@ -168,15 +171,9 @@
         if now_s >= ask.deadline_s:
             return self._refused(ask, "deadline passed")
         waiter = slot_waiter.SlotWaiter(ask, now_s)
-        waiter.entry = self._owner.enqueue(
-            self._home(ask),
-            ask.organisation,
-            waiter,
-            ask.deadline_s,
-            ask.exclude,
-            now_s,
-        )
-        if waiter.entry is None:
+        if self._peers_first(ask):
+            waiter.queue_s = now_s + OWN_SLOT_AFTER_S
+        elif not self._queue(waiter, now_s):
             return self._refused(ask, "queue full")
         returned = False
         try:
@@ -464,6 +461,20 @@
         self._withdraw(waiter)
         waiter.wake()
 
+    def _queue(self, waiter: slot_waiter.SlotWaiter, now_s: float) -> bool:
+        """Puts a waiter into this VM's queue; False if that is full."""
+        ask = waiter.ask
+        waiter.queue_s = math.inf
+        waiter.entry = self._owner.enqueue(
+            self._home(ask),
+            ask.organisation,
+            waiter,
+            ask.deadline_s,
+            ask.exclude,
+            now_s,
+        )
+        return waiter.entry is not None
+
     def _withdraw(self, waiter: slot_waiter.SlotWaiter) -> None:
         """Takes back everything a waiter still asks for."""
         if waiter.entry is not None:
@@ -496,7 +507,13 @@
 
     def _advance(self, waiter: slot_waiter.SlotWaiter, now_s: float) -> float:
         """Sends what is due for a waiter; returns when to look again."""
-        wake_s = now_s + RECHECK_S
+        if now_s >= waiter.queue_s:
+            self._queue(waiter, now_s)
+            self._grant(self._home(waiter.ask), now_s)
+            if waiter.slot is not None:
+                return now_s
+        wake_s = min(now_s + RECHECK_S, waiter.queue_s)
+        small = self._owner.is_small(waiter.ask.service, waiter.ask.version)
         for ask_id, name in list(waiter.home_asks.items()):
             if name not in self._view.live:
                 del waiter.home_asks[ask_id]
@@ -510,7 +527,7 @@
         ]
         if fresh and len(waiter.home_asks) < MAX_HOME_ASKS:
             if now_s >= waiter.next_ask_s:
-                if self._free_at(fresh[0], waiter.ask) > 0:
+                if small or self._free_at(fresh[0], waiter.ask) > 0:
                     self._ask_home(waiter, fresh[0], now_s)
                 else:
                     room = MAX_HOME_ASKS - len(waiter.home_asks)
--- a/src/bramleyworks/daemon/slot_waiter.py
+++ b/src/bramleyworks/daemon/slot_waiter.py
@@ -1,6 +1,7 @@
 """One request that waits in the slot task."""
 
 import asyncio
+import math
 
 from bramleyworks.daemon import acquire_ask
 from bramleyworks.daemon import slot
@@ -14,6 +15,7 @@
         ask: What is wanted.
         since_s: Monotonic time at which it began to wait.
         entry: Its place in this VM's queue, None once it has left.
+        queue_s: Time at which it joins this VM's queue, infinite once it did.
         slot: The slot it got, None so far.
         home_asks: Ids of asks in its own region without an answer, with the
             VM asked.
@@ -28,6 +30,7 @@
         self.ask = ask
         self.since_s = now_s
         self.entry: queue_entry.QueueEntry | None = None
+        self.queue_s = math.inf
         self.slot: slot.Slot | None = None
         self.home_asks: dict[int, str] = {}
         self.shift_ask = 0
--- a/src/bramleyworks/policy/lender.py
+++ b/src/bramleyworks/policy/lender.py
@@ -14,8 +14,10 @@
 from bramleyworks.policy import slot_owner
 from bramleyworks.policy import slot_use
 
-# Asks are remembered this long to recognise their repeats and cancellations.
-REMEMBER_S = 60.0
+# Asks are remembered to recognise their repeats and cancellations. A forgotten
+# one costs an unused loan that comes back at once, so the memory is bounded.
+REMEMBER_S = 15.0
+REMEMBER_MAX = 20_000
 
 Sends = list[tuple[str, codec.Message]]
 
@@ -64,6 +66,7 @@
         if key in self._known:
             known = self._known[key][1]
             return [(sender, known.loan)] if known.loan else []
+        self._owner.count_request(ask.service, ask.version, now_s)
         region = ask.target or ask.region
         pool = (ask.service, ask.version, region)
         foreign = region != ask.region
@@ -148,7 +151,8 @@
         """Drops the oldest asks."""
         while self._known:
             key, (at_s, _) = next(iter(self._known.items()))
-            if now_s - at_s < REMEMBER_S:
+            recent = now_s - at_s < REMEMBER_S
+            if recent and len(self._known) <= REMEMBER_MAX:
                 break
             del self._known[key]
 
--- a/src/bramleyworks/policy/slot_owner.py
+++ b/src/bramleyworks/policy/slot_owner.py
@@ -29,10 +29,15 @@
 NEW_S = 60.0
 # Usable slots that change with time are computed again after this.
 REFRESH_S = 0.05
+# Overdue slots are rare, so all uses are looked at only this often.
+OVERDUE_PERIOD_S = 0.25
 # A version with less than this share of its service's requests is sent to as
 # few upstreams as possible.
 SMALL_SHARE = 0.1
 SHARE_HALF_LIFE_S = 10.0
+# With fewer recent requests than this the share is not known yet, and a
+# version other than the service's own counts as small.
+SHARE_SAMPLE = 30.0
 
 PoolKey = tuple[str, str, str]
 
@@ -123,8 +128,10 @@
         self._owned: frozenset[str] = frozenset()
         self._uses: dict[int, slot_use.SlotUse] = {}
         self._shares: dict[tuple[str, str], _Share] = {}
+        self._versions: dict[str, list[tuple[str, str]]] = {}
         self._next_id = id_base(incarnation)
         self._configured = False
+        self._next_overdue_s = -math.inf
 
     # Configuration and ownership.
 
@@ -164,6 +171,7 @@
             known.gone = False
             known.drained = name in drained
         self._configured = True
+        self._list_versions(now_s)
         self._build_pools()
         self.set_owned(self._owned, now_s)
 
@@ -331,11 +339,14 @@
         self, now_s: float
     ) -> tuple[list[slot_use.SlotUse], list[queue_entry.QueueEntry]]:
         """Takes back overdue slots and drops overdue queue entries."""
-        overdue = [
-            use
-            for use in self._uses.values()
-            if now_s >= use.end_s + TAKE_BACK_S
-        ]
+        overdue = []
+        if now_s >= self._next_overdue_s:
+            self._next_overdue_s = now_s + OVERDUE_PERIOD_S
+            overdue = [
+                use
+                for use in self._uses.values()
+                if now_s >= use.end_s + TAKE_BACK_S
+            ]
         for use in overdue:
             self.release(use.use_id, slot_outcome.SlotOutcome.NEUTRAL, now_s)
         entries = []
@@ -417,14 +428,7 @@
 
     def count_request(self, name: str, version: str, now_s: float) -> None:
         """Counts a request of a version, to know when its share is small."""
-        svc = self._services.get(name)
-        if svc is None:
-            return
-        versions = [key for key in self._shares if key[0] == name]
-        if version != svc.version and (name, version) not in versions:
-            versions.append((name, version))
-            self._shares[(name, version)] = _Share(0.0, 0.0, now_s)
-        for key in versions:
+        for key in self._versions.get(name, ()):
             share = self._shares[key]
             keep = 0.5 ** ((now_s - share.at_s) / SHARE_HALF_LIFE_S)
             self._shares[key] = _Share(
@@ -439,12 +443,27 @@
         if svc is None or svc.version == version:
             return False
         share = self._shares.get((name, version))
-        return share is None or share.version < max(
-            SMALL_SHARE * share.total, 1.0
+        return (
+            share is None
+            or share.total < SHARE_SAMPLE
+            or share.version < SMALL_SHARE * share.total
         )
 
     # Internal.
 
+    def _list_versions(self, now_s: float) -> None:
+        """Starts to count versions other than their service's own."""
+        shares = {}
+        self._versions = {}
+        for spec in (u.spec for u in self._upstreams.values()):
+            key = (spec.service, spec.version)
+            svc = self._services.get(spec.service)
+            if svc is None or spec.version == svc.version or key in shares:
+                continue
+            shares[key] = self._shares.get(key, _Share(0.0, 0.0, now_s))
+            self._versions.setdefault(spec.service, []).append(key)
+        self._shares = shares
+
     def _build_pools(self) -> None:
         pools: dict[PoolKey, _Pool] = {}
         for known in self._upstreams.values():
--- a/src/bramleyworks_lab/slot_sim.py
+++ b/src/bramleyworks_lab/slot_sim.py
@@ -31,6 +31,8 @@
 UPSTREAMS = 16
 SLOTS = 5
 ORGANISATIONS = 8
+# Per thousand of the requests that each organisation sends.
+WEIGHTS = (393, 239, 145, 88, 53, 32, 20, 30)
 SERVICE_S = 0.1
 LINK_S = 0.001
 LINK_JITTER_S = 0.0002
@@ -45,6 +47,7 @@
 
     Attributes:
         waits_s: Wait for a slot of each request.
+        by_org: The same by organisation.
         refused: Requests without a slot.
         unserved: Time average of slots idle while requests wait, at most the
             number of waiting requests.
@@ -53,6 +56,7 @@
     """
 
     waits_s: list[float] = dataclasses.field(default_factory=list)
+    by_org: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     refused: int = 0
     unserved: float = 0.0
     messages: float = 0.0
@@ -60,23 +64,43 @@
 
     def quantile_ms(self, share: float) -> float:
         """Returns a quantile of the waits in milliseconds."""
-        ranked = sorted(self.waits_s)
-        return ranked[min(int(share * len(ranked)), len(ranked) - 1)] * 1000
+        return _quantile(self.waits_s, share) * 1000
 
+    def add(self, org: str, wait_s: float) -> None:
+        """Counts one request that got a slot."""
+        self.waits_s.append(wait_s)
+        self.by_org.setdefault(org, []).append(wait_s)
 
-def make_document(upstreams: int = UPSTREAMS) -> document.Document:
+    def unfairness(self) -> float:
+        """Returns the p99 latency of the worst organisation by the median's.
+
+        Latency is the wait plus the mean service time.
+        """
+        ranked = sorted(
+            _quantile(waits, 0.99) + SERVICE_S for waits in self.by_org.values()
+        )
+        return ranked[-1] / ranked[len(ranked) // 2]
+
+
+def _quantile(values, share):
+    ranked = sorted(values)
+    return ranked[min(int(share * len(ranked)), len(ranked) - 1)]
+
+
+def make_document(weights: tuple[int, ...] = ()) -> document.Document:
     """Returns one service with its upstreams in one region."""
+    weights = weights or (1,) * ORGANISATIONS
     return document.Document(
         organisations=tuple(
-            organisation.Organisation(f"org{i}", 1000.0, 1000.0)
-            for i in range(ORGANISATIONS)
+            organisation.Organisation(f"org{i}", 1000.0, 1000.0, weight)
+            for i, weight in enumerate(weights)
         ),
         services=(service.Service("desk", "v1"),),
         upstreams=tuple(
             upstream.Upstream(
                 f"u{i}", "desk", "v1", "sudo", "a", f"http://u{i}", SLOTS
             )
-            for i in range(upstreams)
+            for i in range(UPSTREAMS)
         ),
     )
 
@@ -183,10 +207,10 @@
     await asyncio.gather(*running)
 
 
-async def _run_slots(load_share, duration_s, seed):
+async def _run_slots(load_share, duration_s, seed, weights=()):
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
-    doc = make_document()
+    doc = make_document(weights)
     stored = stored_config.StoredConfig(1, "a", "lab", 0.0, doc)
     owners = {f"u{i}": f"vm{i % VMS}" for i in range(UPSTREAMS)}
     network = _Network(random.Random(seed + 1))
@@ -219,7 +243,7 @@
         if got.is_err():
             out.refused += 1
             return
-        out.waits_s.append(loop.time() - began_s)
+        out.add(org, loop.time() - began_s)
         index = int(got.unwrap().upstream[1:])
         load.begin(index)
         await asyncio.sleep(service_s)
@@ -274,14 +298,13 @@
     out = Outcome()
 
     async def request(vm, org, service_s):
-        del org
         began_s = loop.time()
         turns[vm] = (turns[vm] + 1) % UPSTREAMS
         index = turns[vm]
         load.waiting += 1
         async with gates[index]:
             load.waiting -= 1
-            out.waits_s.append(loop.time() - began_s)
+            out.add(org, loop.time() - began_s)
             load.begin(index)
             await asyncio.sleep(service_s)
             load.used[index] -= 1
@@ -301,18 +324,24 @@
     out = Outcome()
 
     async def request(vm, org, service_s):
-        del vm, org
+        del vm
         began_s = loop.time()
         async with gate:
-            out.waits_s.append(loop.time() - began_s)
+            out.add(org, loop.time() - began_s)
             await asyncio.sleep(service_s)
 
     await _drive(load_share, duration_s, rng, load, request)
     return out
 
 
+async def _run_weighted(load_share, duration_s, seed):
+    """Like slot owners, with weights in proportion to the load."""
+    return await _run_slots(load_share, duration_s, seed, WEIGHTS)
+
+
 POLICIES = {
     "slot owners": _run_slots,
+    "weighted": _run_weighted,
     "round robin": _run_round_robin,
     "one queue": _run_central,
 }
@@ -329,7 +358,10 @@
     """Prints the figures of all policies."""
     duration_s = float(sys.argv[1]) if len(sys.argv) > 1 else 30.0
     seed = int(sys.argv[2]) if len(sys.argv) > 2 else 1
-    print("load  policy       p50 ms   p99 ms  idle  msgs/req  refused  max")
+    print(
+        "load  policy       p50 ms   p99 ms  idle  msgs/req  refused  max"
+        "  worst/median"
+    )
     for load_share in (0.7, 0.95):
         for policy in POLICIES:
             out = simulate(policy, load_share, duration_s, seed)
@@ -337,6 +369,7 @@
                 f"{load_share:4.2f}  {policy:11s} {out.quantile_ms(0.5):7.2f}"
                 f"  {out.quantile_ms(0.99):7.1f}  {out.unserved:4.2f}"
                 f"  {out.messages:8.2f}  {out.refused:7d}  {out.most_used:3d}"
+                f"  {out.unfairness():6.2f}"
             )
 
 
--- a/tests/daemon/test_slot_task.py
+++ b/tests/daemon/test_slot_task.py
@@ -1,8 +1,10 @@
 """Guards against lost, doubled and late slots at the edge of the task."""
 
 import asyncio
+import dataclasses
 import random
 
+import msgspec
 from support import slot_world
 
 from bramleyworks.messages import codec
@@ -269,6 +271,75 @@
     run(test, queue_limit=3)
 
 
+def test_shifts_stay_under_the_cap_while_loans_are_delayed():
+    async def main():
+        sizes = {"a1": 1, "b1": 20}
+        doc = slot_world.make_document(
+            sizes, cap=5.0, shift_after_ms=20.0, reserve_slots=4
+        )
+        owners = {"a1": "A1", "b1": "B1"}
+        world = slot_world.World(owners, doc, rate=5.0, burst=3.0)
+        await asyncio.sleep(40.0)
+        world.delay_s = 0.4
+        task = world.tasks["A1"]
+        own = task.try_acquire(world.ask())
+        refused = []
+
+        async def request():
+            got = await task.acquire(world.ask(20.0))
+            if got.is_err():
+                refused.append(got)
+                return
+            slot = got.unwrap()
+            world.begin("A1", slot)
+            assert world.running["b1"] <= 16, "the reserve was lent"
+            await asyncio.sleep(1.0 + world.rng.random())
+            world.end("A1", slot)
+
+        began_s = world.clock()
+        waits = []
+        for _ in range(250):
+            waits.append(asyncio.create_task(request()))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*waits)
+        _check_cap(world.shifts, 5.0, 3.0)
+        # The ramp from 10% lasts 20 s; then the whole cap is used.
+        first = [t for t, _, _ in world.shifts if t < began_s + 5.0]
+        assert 1 <= len(first) <= 5
+        assert len(world.shifts) > 100
+        task.release(own, OK)
+        world.delay_s = 0.001
+        await asyncio.sleep(35.0)
+        assert world.used() == {"a1": 0, "b1": 0}
+        await world.stop()
+
+    virtual_loop.run(main())
+
+
+def test_all_vms_send_a_small_share_to_the_same_upstream():
+    async def main():
+        doc = slot_world.make_document({"a1": 4, "a2": 2, "a3": 2})
+        new = tuple(
+            msgspec.structs.replace(u, version="v2" if u.name != "a1" else "v1")
+            for u in doc.upstreams
+        )
+        doc = msgspec.structs.replace(doc, upstreams=new)
+        owners = {"a1": "A1", "a2": "A1", "a3": "A2"}
+        world = slot_world.World(owners, doc)
+        await asyncio.sleep(40.0)
+        taken = []
+        for vm in ("A1", "A2", "A1"):
+            ask = dataclasses.replace(world.ask(), version="v2")
+            taken.append((vm, (await world.tasks[vm].acquire(ask)).unwrap()))
+        names = [slot.upstream for _, slot in taken]
+        assert names[0] == names[1] != names[2]
+        for vm, slot in taken:
+            world.tasks[vm].release(slot, OK)
+        await world.stop()
+
+    virtual_loop.run(main())
+
+
 def _check_cap(shifts, rate, burst):
     for source, target in (("A", "B"), ("B", "A")):
         times = [t for t, s, g in shifts if (s, g) == (source, target)]
--- a/tests/support/slot_world.py
+++ b/tests/support/slot_world.py
@@ -183,7 +183,10 @@
             for name, task in self.tasks.items():
                 for upstream_name, spec in task.owned().items():
                     reading = probe_reading.ProbeReading(
-                        "ok", self.running[upstream_name], spec.slots, "v1"
+                        "ok",
+                        self.running[upstream_name],
+                        spec.slots,
+                        spec.version,
                     )
                     task.on_probe(upstream_name, reading, self.clock())
                 beat = heartbeat.Heartbeat(
