Give back loans that arrive too late to start

Change: a slot must be used within 1 s of its grant (Slot.start_by_s), counted by the borrower from its own ask; SlotLoan carries waited_s for that. A new owner believes readings from 4 s after the takeover instead of 3 s.

--- a/src/bramleyworks/daemon/slot.py
+++ b/src/bramleyworks/daemon/slot.py
@@ -13,8 +13,10 @@
         region: Its region.
         loan_id: Id of the use at the owner.
         owner: VM that lent it, None if this VM owns the upstream.
+        start_by_s: Monotonic time from which the request must not be sent; a
+            slot not used by then is released.
         expires_s: Monotonic time by which the request is cancelled at the
-            latest, and from which it must not be sent.
+            latest.
     """
 
     upstream: str
@@ -22,4 +24,5 @@
     region: str
     loan_id: int
     owner: str | None
+    start_by_s: float
     expires_s: float
--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -180,9 +180,9 @@
             while True:
                 now_s = self._enter()
                 if waiter.slot is not None:
-                    # The deadline may have passed between grant and now.
-                    if now_s >= ask.deadline_s:
-                        return self._refused(ask, "deadline passed")
+                    # Time may have passed between the grant and now.
+                    if now_s >= min(ask.deadline_s, waiter.slot.start_by_s):
+                        return self._refused(ask, "slot came too late")
                     returned = True
                     self._count(ask, now_s - waiter.since_s, now_s)
                     return result.Ok(waiter.slot)
@@ -353,7 +353,13 @@
             waiter.wake()
             return
         lent = slot.Slot(
-            spec.name, spec.url, spec.region, msg.loan_id, sender, arrival.end_s
+            spec.name,
+            spec.url,
+            spec.region,
+            msg.loan_id,
+            sender,
+            arrival.start_by_s,
+            arrival.end_s,
         )
         if spec.region == self._me.region:
             self._note_taken(sender, waiter.ask, False)
@@ -414,7 +420,13 @@
     def _own_slot(self, use) -> slot.Slot:
         spec = self._specs[use.upstream]
         return slot.Slot(
-            spec.name, spec.url, spec.region, use.use_id, None, use.end_s
+            spec.name,
+            spec.url,
+            spec.region,
+            use.use_id,
+            None,
+            use.since_s + slot_owner.LOAN_START_S,
+            use.end_s,
         )
 
     def _peers_first(self, ask: acquire_ask.AcquireAsk) -> bool:
@@ -748,7 +760,7 @@
         if waiter.slot is not None or waiter.shift_slot is not lent:
             return
         waiter.shift_slot = None
-        if paid and now_s < min(ask.deadline_s, lent.expires_s):
+        if paid and now_s < min(ask.deadline_s, lent.start_by_s):
             self._note_shift(lent.region, now_s)
             self._settle(waiter, lent)
             return
--- a/src/bramleyworks/messages/slot_loan.py
+++ b/src/bramleyworks/messages/slot_loan.py
@@ -10,10 +10,12 @@
         ask_id: Id of the ask it answers.
         loan_id: Id of the loan at the owner.
         upstream: Name of the upstream.
+        waited_s: Seconds that the ask waited at the owner.
         lifetime_s: Seconds after the ask was sent until the loan ends.
     """
 
     ask_id: int
     loan_id: int
     upstream: str
+    waited_s: float
     lifetime_s: float
--- a/src/bramleyworks/policy/borrower.py
+++ b/src/bramleyworks/policy/borrower.py
@@ -28,11 +28,13 @@
 
     Attributes:
         ask: The ask it answers, None if nobody waits for it any more.
+        start_by_s: Monotonic time from which the request must not begin.
         end_s: Monotonic time by which the request must have been cancelled.
         give_back: Whether the loan is released at once.
     """
 
     ask: OpenAsk | None
+    start_by_s: float
     end_s: float
     give_back: bool
 
@@ -63,16 +65,20 @@
         released; every other loan without a waiting ask is.
         """
         if (sender, loan.loan_id) in self._in_use:
-            return Arrival(None, 0.0, False)
+            return Arrival(None, 0.0, 0.0, False)
         ask = self._asks.get(loan.ask_id)
         if ask is None or ask.owner != sender:
-            return Arrival(None, 0.0, True)
+            return Arrival(None, 0.0, 0.0, True)
         del self._asks[loan.ask_id]
         end_s = ask.sent_s + loan.lifetime_s
-        if now_s >= end_s:
-            return Arrival(ask, end_s, True)
+        # Counted from before the owner's grant, so without its clock.
+        start_by_s = min(
+            ask.sent_s + loan.waited_s + slot_owner.LOAN_START_S, end_s
+        )
+        if now_s >= start_by_s:
+            return Arrival(ask, start_by_s, end_s, True)
         self._in_use.add((sender, loan.loan_id))
-        return Arrival(ask, end_s, False)
+        return Arrival(ask, start_by_s, end_s, False)
 
     def on_refuse(self, sender: str, ask_id: int) -> OpenAsk | None:
         """Ends an ask; returns it unless it has ended already."""
--- a/src/bramleyworks/policy/lender.py
+++ b/src/bramleyworks/policy/lender.py
@@ -101,6 +101,7 @@
             item.ask_id,
             use.use_id,
             use.upstream,
+            use.since_s - item.arrived_s,
             # The asker counts from when it sent the ask, which is earlier
             # than its arrival, so its deadline is before the owner's.
             use.end_s - item.arrived_s,
--- a/src/bramleyworks/policy/slot_owner.py
+++ b/src/bramleyworks/policy/slot_owner.py
@@ -17,12 +17,14 @@
 from bramleyworks.policy import slot_use
 from bramleyworks.policy import upstream_health
 
+# A granted slot must be used within this time. A loan that starts later than a
+# new owner's first believed reading is in no count: seed 1094 of the
+# differential test overloaded an upstream this way.
+LOAN_START_S = 1.0
 # A borrower cancels at the loan's deadline by its own clock; the owner waits
 # this long for the cancellation to reach the upstream.
 TAKE_BACK_S = 1.0
 # A load reading may describe the upstream this long before it arrived.
-# Readings in this time after a takeover may miss requests that the previous
-# owner started last.
 READING_LAG_S = 3.0
 # An upstream that appeared in the document within this time before its owner
 # took it is cold.
@@ -521,7 +523,9 @@
         # bounds the use by this owner.
         wait_s = self._longest_s.get(known.spec.service, 0.0) + TAKE_BACK_S
         taken_s = known.wait_until_s - wait_s
-        if started_s < taken_s + READING_LAG_S:
+        # Earlier readings may miss requests that the previous owner granted
+        # last.
+        if started_s < taken_s + LOAN_START_S + READING_LAG_S:
             return
         seen = sum(
             use.upstream == known.name
--- a/tests/daemon/test_slot_task.py
+++ b/tests/daemon/test_slot_task.py
@@ -139,6 +139,29 @@
     run(test)
 
 
+def test_loan_that_arrives_too_late_to_start_is_given_back():
+    async def test(world):
+        task = world.tasks["A1"]
+        own = task.try_acquire(world.ask())
+        world.hold = True
+        waiting = asyncio.create_task(task.acquire(world.ask(3.0)))
+        await asyncio.sleep(0.01)
+        world.release_held()
+        await asyncio.sleep(1.1)
+        # The owner may have lost the upstream by now, and a new one may have
+        # read that the slot is free.
+        world.release_held()
+        await asyncio.sleep(0)
+        assert slot_release.SlotRelease in kinds(world)
+        assert not waiting.done()
+        world.hold = False
+        world.release_held()
+        task.release(own, OK)
+        task.release((await waiting).unwrap(), OK)
+
+    run(test)
+
+
 def test_lost_loan_is_taken_back_by_the_cancellation():
     async def test(world):
         task = world.tasks["A1"]
@@ -379,7 +402,7 @@
             key = (slot.owner or vm, slot.loan_id)
             assert key not in seen, "slot given twice"
             seen.add(key)
-            assert world.clock() < min(ask.deadline_s, slot.expires_s)
+            assert world.clock() < min(ask.deadline_s, slot.start_by_s)
             drained_s = last_drain.get(slot.upstream)
             assert drained_s is None, "a draining upstream got work"
             world.begin(vm, slot)
--- a/tests/policy/test_slot_fleet.py
+++ b/tests/policy/test_slot_fleet.py
@@ -45,10 +45,12 @@
 
 
 def test_long_seeded_runs_do_not_overload_an_upstream():
-    for seed in range(150):
+    # With seed 1094 a loan once started after its owner's successor had
+    # believed a load reading that could not show it.
+    for seed in (1094, *range(150)):
         rng = random.Random(seed)
         fleet = slot_fleet.Fleet()
-        for step in range(400):
+        for step in range(800 if seed == 1094 else 400):
             op = rng.choice(OPS)
             numbers = rng.randrange(840), rng.randrange(840)
             try:
--- a/tests/policy/test_slot_owner.py
+++ b/tests/policy/test_slot_owner.py
@@ -51,10 +51,10 @@
 
 def test_readings_right_after_a_takeover_may_be_older_than_it():
     owner, _ = make_owner({"a1": 5}, settled=False)
-    owner.on_probe("a1", reading(0), 2.9, 3.1)
-    assert fill(owner, 3.2) == []
-    owner.on_probe("a1", reading(4), 3.0, 3.5)
-    assert len(fill(owner, 3.6)) == 1
+    owner.on_probe("a1", reading(0), 3.9, 4.1)
+    assert fill(owner, 4.2) == []
+    owner.on_probe("a1", reading(4), 4.0, 4.5)
+    assert len(fill(owner, 4.6)) == 1
 
 
 def test_frozen_reading_that_misses_own_requests_is_not_believed():
@@ -72,9 +72,8 @@
     doc = msgspec.structs.replace(doc, upstreams=(*doc.upstreams, added))
     owner.configure(doc, 100.0)
     owner.set_owned(frozenset({"a1", "a2"}), 101.0)
-    for at_s in (104.0, 105.0):
-        owner.on_probe("a2", reading(0), at_s, at_s)
-    taken = [use.upstream for use in fill(owner, 104.0)]
+    owner.on_probe("a2", reading(0), 105.0, 105.0)
+    taken = [use.upstream for use in fill(owner, 105.0)]
     assert taken.count("a2") == 2
     taken += [use.upstream for use in fill(owner, 106.1)]
     assert taken.count("a2") == 3
