--- a/src/bramleyworks/daemon/ledger_task.py
+++ b/src/bramleyworks/daemon/ledger_task.py
@@ -127,7 +127,8 @@
     async def leave(self, timeout_s: float = 5.0) -> bool:
         """Gives units and upstreams back before a planned stop.
 
-        Needs ``run`` to go on meanwhile.
+        Needs ``run`` to go on meanwhile. Heartbeats should go on for a second
+        longer, so that the other VMs learn of the free units at once.
 
         Returns:
             Whether the ledger no longer holds an entry of this process.
--- a/src/bramleyworks/policy/borrowing.py
+++ b/src/bramleyworks/policy/borrowing.py
@@ -4,8 +4,8 @@
 many tokens per second a peer can spare, and asks the peers that should have
 most to spare by now. Asking in turn instead wastes half of the asks when a few
 VMs carry the load, because these have nothing to lend to each other. A peer
-that gave nothing or did not answer rests for a time that doubles with each
-failure. A request that waits asks the VM's own region first.
+that does not answer rests for a time that doubles with each failure. A request
+that waits asks a peer of the own region first if one should have enough.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 
 from bramleyworks.policy import token_bucket
 
-HORIZON_S = 0.35
+HORIZON_S = 0.5
 """Time ahead for which tokens should suffice; covers the interval between
 asks and a round trip between regions (70 ms)."""
 
@@ -28,7 +28,7 @@
 would expire unused."""
 
 DEMAND_TAU_S = 1.0
-BORROWER_SPREAD = 1.0
+BORROWER_SPREAD = 1.5
 LENDER_SPREAD = 1.0
 """Standard deviations of the demand that a VM holds tokens for."""
 
@@ -38,6 +38,9 @@
 ANSWER_S = 0.3
 REST_S = 0.25
 REST_MAX_S = 4.0
+LEARN = 0.3
+"""Weight of one grant in a peer's surplus."""
+
 FIRST_YIELD_PART = 1.0
 """Part of its capacity that a peer not yet asked is expected to lend."""
 
@@ -196,16 +199,17 @@
             surplus_per_s=max(known.surplus_per_s, per_s),
             lent=amount,
         )
-    known = dataclasses.replace(
+    return dataclasses.replace(
         known,
-        ready_s=now_s,
+        # A correct lender that has nothing now may have something soon.
+        ready_s=now_s if amount > 0.0 else now_s + REST_S,
+        rest_s=0.0,
         left=0.0,
-        surplus_per_s=0.5 * (known.surplus_per_s + per_s),
+        surplus_per_s=(
+            known.surplus_per_s + LEARN * (per_s - known.surplus_per_s)
+        ),
         lent=amount,
     )
-    if amount > 0.0:
-        return dataclasses.replace(known, rest_s=0.0)
-    return _rested(known, now_s)
 
 
 def shortage(
@@ -279,7 +283,7 @@
         return borrower, ()
     missing = max(missing, shortage(borrower, bucket, now_s, waiting, FILL_S))
     ranked = []
-    for distance, names in ((0, near), (1, far)):
+    for is_far, names in ((False, near), (True, far)):
         offset = int(rnd * len(names))
         for index, name in enumerate(names):
             known = borrower.peers.get(name)
@@ -291,7 +295,7 @@
                 spare = _spare(known, now_s, peer_capacity, peer_rate_per_s)
             ranked.append(
                 (
-                    distance if waiting else 0,
+                    not waiting or is_far or spare < missing,
                     -spare,
                     (index - offset) % len(names),
                     name,
--- a/tests/support/limit_fleet.py
+++ b/tests/support/limit_fleet.py
@@ -170,6 +170,14 @@
         return {name: vm.ledger.units() for name, vm in self.vms.items()}
 
 
+async def cancel_others():
+    """Cancels all other tasks of the loop, for the end of a test."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
 def config(organisations, upstreams=0):
     """Returns a configuration; organisations are name: (rate, burst)."""
     return stored_config.StoredConfig(
