Add measurements of the costs of one daemon

Cause: the sizes of two years cannot be started here, so the costs have to be worked out from slopes.

--- /dev/null
+++ b/src/bramleyworks_lab/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind the capacity page."""
--- /dev/null
+++ b/src/bramleyworks_lab/capacity/health_cost.py
@@ -0,0 +1,41 @@
+"""Cost of health decisions, by the upstreams that a VM owns."""
+
+from bramleyworks.policy import health
+from bramleyworks.policy import probe_reading
+from bramleyworks.policy import upstream_health
+from bramleyworks_lab.capacity import cost
+from bramleyworks_lab.capacity import measurement
+
+UPSTREAMS = (10, 100, 1000)
+TINY_UPSTREAMS = (2, 4, 8)
+
+
+def _states(count: int) -> dict[str, upstream_health.UpstreamHealth]:
+    return {f"up-{i}": upstream_health.UpstreamHealth() for i in range(count)}
+
+
+def _round_us(count: int) -> float:
+    states = _states(count)
+    reading = probe_reading.ProbeReading("ok", 0, 5, "v1")
+
+    def probe_all() -> None:
+        for name in states:
+            states[name] = health.after_probe(states[name], reading, 1.0)
+        health.limit_probes(states, 1.0)
+
+    return cost.cpu_us(probe_all)
+
+
+def _kept_bytes(count: int) -> float:
+    return cost.kept_bytes(lambda: _states(count))
+
+
+MEASUREMENTS = tuple(
+    measurement.Measurement(
+        name, "health", "upstreams", unit, UPSTREAMS, TINY_UPSTREAMS, run
+    )
+    for name, unit, run in (
+        ("health-round", "us", _round_us),
+        ("health-kept-bytes", "bytes", _kept_bytes),
+    )
+)
--- /dev/null
+++ b/src/bramleyworks_lab/capacity/relay_cost.py
@@ -0,0 +1,23 @@
+"""Time for a change to be in force in a modelled fleet."""
+
+import functools
+
+from bramleyworks_lab.capacity import measurement
+from bramleyworks_lab.capacity import relay_model
+
+DAEMONS = (32, 96, 288)
+TINY_DAEMONS = (4, 6, 8)
+
+
+MEASUREMENTS = tuple(
+    measurement.Measurement(
+        name,
+        "configuration relay",
+        "daemons",
+        "s (virtual)",
+        DAEMONS,
+        TINY_DAEMONS,
+        functools.partial(relay_model.spread_s, dead=dead),
+    )
+    for name, dead in (("relay-time", 0), ("relay-time-dead-relay", 1))
+)
--- /dev/null
+++ b/src/bramleyworks_lab/capacity/relay_model.py
@@ -0,0 +1,165 @@
+"""A fleet of configuration and member tasks on virtual time."""
+
+import asyncio
+import random
+
+from bramleyworks.daemon import config_task
+from bramleyworks.daemon import heartbeat_builder
+from bramleyworks.daemon import identity
+from bramleyworks.daemon import member_task
+from bramleyworks.document import codec
+from bramleyworks.document import stored_config
+from bramleyworks.platform import listed_vm
+from bramleyworks.policy import member_table
+from bramleyworks_lab import model_network
+from bramleyworks_lab import model_store
+from bramleyworks_lab import virtual_loop
+from bramleyworks_lab.capacity import synthetic
+
+DOMAIN_S = 0.001
+REGION_S = 0.035
+JOIN_S = 8.0
+LIMIT_S = 30.0
+STEP_S = 0.02
+UPSTREAMS = 20
+
+
+class _Idle:
+    """Stands for the tasks whose state heartbeats also carry."""
+
+    def epoch(self) -> int:
+        """Returns the ledger's epoch."""
+        return 1
+
+    def free_slots(self) -> dict[str, int]:
+        """Returns no free slots."""
+        return {}
+
+    def heartbeat_counts(self) -> dict[str, list[int]]:
+        """Returns no counts."""
+        return {}
+
+    def cuts(self) -> tuple[str, ...]:
+        """Returns no cuts."""
+        return ()
+
+
+class _Listing:
+    """The platform's VM list."""
+
+    def __init__(self, listed: tuple[listed_vm.ListedVm, ...]):
+        self._listed = listed
+
+    async def read(self) -> tuple[listed_vm.ListedVm, ...]:
+        """Returns the list."""
+        return self._listed
+
+
+class _Vm:
+    """The two tasks of one daemon."""
+
+    def __init__(
+        self,
+        me: identity.Identity,
+        network: model_network.ModelNetwork,
+        store: model_store.ModelStore,
+        listing: _Listing,
+        seed: int,
+    ):
+        clock = asyncio.get_running_loop().time
+        rng = random.Random(seed)
+        idle = _Idle()
+        link = model_network.ModelLink(network, me.vm_id, me.region)
+        table = member_table.MemberTable(me.vm_id)
+        kv = model_store.StoreClient(store, me.region, REGION_S, clock)
+        self.config = config_task.ConfigTask(me, link, kv, table, clock, rng)
+        self.members = member_task.MemberTask(
+            me,
+            link,
+            listing,
+            table,
+            heartbeat_builder.HeartbeatBuilder(
+                me, self.config, idle, idle, idle
+            ),
+            (),
+            clock,
+            rng,
+        )
+        self.members.subscribe(self.config.on_fleet)
+        self.members.subscribe_beats(
+            lambda beat: self.config.on_heartbeat(
+                beat.vm_id, beat.config_version
+            )
+        )
+
+
+def spread_s(count: int, dead: int, seed: int = 1) -> float:
+    """Returns the time until a change is in force on all live daemons.
+
+    Args:
+        count: Daemons.
+        dead: Inner positions of the tree, from the second one, whose daemons
+            die together with the change.
+        seed: Seed of all random numbers.
+
+    Returns:
+        Virtual seconds from the write in the store, ``LIMIT_S`` if some
+        daemon still lacks it then.
+    """
+    return virtual_loop.run(_spread(count, dead, seed))
+
+
+async def _spread(count: int, dead: int, seed: int) -> float:
+    loop = asyncio.get_running_loop()
+    network = model_network.ModelNetwork(
+        lambda one, two: DOMAIN_S if one == two else REGION_S
+    )
+    store = model_store.ModelStore(loop.time)
+    _write(store, 1)
+    who = [synthetic.me(number) for number in range(count)]
+    listing = _Listing(
+        tuple(
+            listed_vm.ListedVm(
+                me.vm_id,
+                me.region,
+                me.failure_domain,
+                me.http,
+                me.peer,
+                "live",
+            )
+            for me in who
+        )
+    )
+    vms = [
+        _Vm(me, network, store, listing, seed * count + i)
+        for i, me in enumerate(who)
+    ]
+    running = [
+        asyncio.ensure_future(task.run())
+        for vm in vms
+        for task in (vm.members, vm.config)
+    ]
+    try:
+        await asyncio.sleep(JOIN_S)
+        network.dead.update(me.vm_id for me in who[1 : 1 + dead])
+        live = vms[:1] + vms[1 + dead :]
+        _write(store, 2)
+        started_s = loop.time()
+        while any(vm.config.version < 2 for vm in live):
+            if loop.time() - started_s >= LIMIT_S:
+                return LIMIT_S
+            await asyncio.sleep(STEP_S)
+        return loop.time() - started_s
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+
+def _write(store: model_store.ModelStore, version: int) -> None:
+    stored = synthetic.stored(UPSTREAMS, version, changed=version > 1)
+    store.data.put(
+        stored_config.CONFIG_KEY,
+        codec.encode_stored(stored),
+        store.data.revision_of(stored_config.CONFIG_KEY),
+    )
--- /dev/null
+++ b/src/bramleyworks_lab/capacity/ticket_cost.py
@@ -0,0 +1,45 @@
+"""Cost of tickets, by the ended tickets that a VM keeps."""
+
+from bramleyworks.policy import ticket_outcome
+from bramleyworks.policy import tickets
+from bramleyworks_lab.capacity import cost
+from bramleyworks_lab.capacity import measurement
+
+TICKETS = (1000, 10_000, 100_000)
+TINY_TICKETS = (10, 20, 40)
+
+
+def _run_one(book: tickets.TicketBook) -> None:
+    book.issue("org-1")
+    sequence = book.last_sequence
+    book.begin(sequence, "org-1", "digest", 1.0)
+    book.finish(
+        sequence, ticket_outcome.TicketOutcome("done", 201, "text/plain"), 1.0
+    )
+
+
+def _book(count: int) -> tickets.TicketBook:
+    book = tickets.TicketBook("vm-00001.0123456789ab")
+    for _ in range(count):
+        _run_one(book)
+    return book
+
+
+def _kept_bytes(count: int) -> float:
+    return cost.kept_bytes(lambda: _book(count))
+
+
+def _run_us(count: int) -> float:
+    book = _book(count)
+    return cost.cpu_us(lambda: _run_one(book))
+
+
+MEASUREMENTS = tuple(
+    measurement.Measurement(
+        name, "request path", "tickets", unit, TICKETS, TINY_TICKETS, run
+    )
+    for name, unit, run in (
+        ("ticket-kept-bytes", "bytes", _kept_bytes),
+        ("ticket-run", "us", _run_us),
+    )
+)
