--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(VENV)/bin/python -m bramleyworks_lab.bench
 
 capacity: $(VENV)/ready
-	$(VENV)/bin/python -m bramleyworks_lab.capacity
+	$(VENV)/bin/python tools/capacity.py
 
 format: $(VENV)/ready
 	$(VENV)/bin/ruff format src tests tools
--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,32 @@
+"""Measures the slopes of the capacity page and prints them as one table."""
+
+import asyncio
+import importlib
+import pathlib
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+def main() -> int:
+    """Prints the table; returns 0."""
+    # The fleet of processes is the one that the process tests use.
+    sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests")]
+    capacity_fleet = importlib.import_module("capacity_fleet")
+    registry = importlib.import_module("bramleyworks_lab.capacity.registry")
+    row = importlib.import_module("bramleyworks_lab.capacity.row")
+    started_s = time.monotonic()
+    print(row.HEADER)
+    for item in registry.ALL:
+        print(row.text(row.measure(item, item.sizes)), flush=True)
+    for made in asyncio.run(capacity_fleet.rows()):
+        print(row.text(made), flush=True)
+    for name, program in capacity_fleet.PROGRAMS:
+        print(f"{name}: {capacity_fleet.idle_mib(program):.1f} MiB resident")
+    print(f"measured in {time.monotonic() - started_s:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
