Bound what a frozen load endpoint can cost a new owner

Conclusion: the excess is at most one request; only sitting out the whole wait, or asking all VMs for their requests, would make it zero.

--- a/src/bramleyworks/policy/slot_owner.py
+++ b/src/bramleyworks/policy/slot_owner.py
@@ -48,11 +48,13 @@
     """Counts and limits of one upstream."""
 
     __slots__ = (
+        "changing",
         "closed",
         "cold_s",
         "drained",
         "gone",
         "health",
+        "last_busy",
         "limit",
         "limit_until_s",
         "name",
@@ -82,6 +84,8 @@
         self.wait_until_s = -math.inf
         self.shown_free = 0
         self.wrong_reading = False
+        self.last_busy = -1
+        self.changing = False
         self.new_s = -math.inf
         self.cold_s = -math.inf
         self.pool: _Pool | None = None
@@ -509,6 +513,8 @@
         known.wait_until_s = now_s + wait_s
         known.shown_free = 0
         known.wrong_reading = False
+        known.last_busy = -1
+        known.changing = False
         if now_s - known.new_s < NEW_S:
             known.cold_s = now_s
 
@@ -536,6 +542,9 @@
             # It does not show requests that surely run, so it is frozen or
             # wrong, and the wait must be sat out.
             known.wrong_reading = True
+        if known.last_busy >= 0 and reading.busy != known.last_busy:
+            known.changing = True
+        known.last_busy = max(reading.busy, 0)
         known.shown_free = max(
             known.shown_free, known.spec.slots - max(reading.busy, 0)
         )
@@ -569,6 +578,10 @@
             known.limit_until_s = now_s + REFRESH_S
         if now_s < known.wait_until_s:
             shown = 0 if known.wrong_reading else known.shown_free
+            if not known.changing:
+                # The endpoint may be frozen; one request at a time makes a
+                # live one change and bounds the excess on a frozen one.
+                shown = min(shown, 1)
             limit = min(limit, shown)
             known.limit_until_s = now_s + REFRESH_S
         known.limit = limit
