--- a/src/bramleyworks/daemon/proxy.py
+++ b/src/bramleyworks/daemon/proxy.py
@@ -108,6 +108,17 @@
                     refused=_slot_refusal(acquired.unwrap_err())
                 )
             taken = acquired.unwrap()
+        if self._clock() >= taken.start_by_s:
+            self._slots.release(taken, slot_outcome.SlotOutcome.NEUTRAL)
+            return attempt.Attempt(
+                refused=refusal.Refusal(
+                    503,
+                    "not_run",
+                    "proxy.slot",
+                    "the slot came too late",
+                    retry_after_s=1,
+                )
+            )
         if not self._is_valid(item):
             self._slots.release(taken, slot_outcome.SlotOutcome.NEUTRAL)
             return attempt.Attempt(
--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -43,7 +43,7 @@
 # finds a free slot sooner and costs one message and its cancellation.
 MAX_HOME_ASKS = 3
 # An owner in the region answers in about 2 ms.
-NEXT_ASK_S = 0.004
+NEXT_ASK_S = 0.003
 # A small share goes to its own VM's slots only after the VMs that come first
 # had time to answer.
 OWN_SLOT_AFTER_S = 0.01
@@ -343,7 +343,7 @@
                 self._give_back_unused(sender, msg.loan_id, now_s)
             return
         waiter: slot_waiter.SlotWaiter = ask.item
-        foreign = self._forget_ask(waiter, msg.ask_id, sender)
+        foreign = self._forget_ask(waiter, msg.ask_id)
         if foreign:
             self._probe_from_s[sender, waiter.ask.service] = now_s
         spec = self._specs.get(msg.upstream)
@@ -369,7 +369,6 @@
             arrival.end_s,
         )
         if spec.region == self._me.region:
-            self._note_taken(sender, waiter.ask, False)
             self._settle(waiter, lent)
         elif self._try_pay(waiter.ask, spec.region, now_s):
             self._settle(waiter, lent)
@@ -383,7 +382,7 @@
         if ask is None:
             return
         waiter: slot_waiter.SlotWaiter = ask.item
-        if self._forget_ask(waiter, msg.ask_id, sender):
+        if self._forget_ask(waiter, msg.ask_id):
             self._probe_from_s[sender, waiter.ask.service] = (
                 now_s + SHIFT_PROBE_REST_S
             )
@@ -517,11 +516,8 @@
             if lent is not waiter.slot:
                 self.release(lent, slot_outcome.SlotOutcome.NEUTRAL)
 
-    def _forget_ask(
-        self, waiter: slot_waiter.SlotWaiter, ask_id: int, owner: str
-    ) -> bool:
+    def _forget_ask(self, waiter: slot_waiter.SlotWaiter, ask_id: int) -> bool:
         """Removes an answered ask; True if it went to another region."""
-        del owner
         if waiter.shift_ask == ask_id:
             waiter.shift_ask = 0
             return True
--- a/src/bramleyworks/policy/slot_owner.py
+++ b/src/bramleyworks/policy/slot_owner.py
@@ -48,11 +48,13 @@
     """Counts and limits of one upstream."""
 
     __slots__ = (
+        "changing",
         "closed",
         "cold_s",
         "drained",
         "gone",
         "health",
+        "last_busy",
         "limit",
         "limit_until_s",
         "name",
@@ -82,6 +84,8 @@
         self.wait_until_s = -math.inf
         self.shown_free = 0
         self.wrong_reading = False
+        self.last_busy = -1
+        self.changing = False
         self.new_s = -math.inf
         self.cold_s = -math.inf
         self.pool: _Pool | None = None
@@ -145,7 +149,11 @@
             self._longest_s[svc.name] = max(
                 svc.max_request_s, self._longest_s.get(svc.name, 0.0)
             )
-        self._weights = {o.name: float(o.weight) for o in doc.organisations}
+        # Organisations pay for rates, so each gets service in proportion to
+        # its rate. With equal weights the largest one always waited longest.
+        self._weights = {
+            o.name: o.weight * o.rate_per_s for o in doc.organisations
+        }
         drained = drained_upstreams(doc)
         specs = {
             u.name: u for u in doc.upstreams if u.service in self._services
@@ -509,6 +517,8 @@
         known.wait_until_s = now_s + wait_s
         known.shown_free = 0
         known.wrong_reading = False
+        known.last_busy = -1
+        known.changing = False
         if now_s - known.new_s < NEW_S:
             known.cold_s = now_s
 
@@ -536,6 +546,9 @@
             # It does not show requests that surely run, so it is frozen or
             # wrong, and the wait must be sat out.
             known.wrong_reading = True
+        if known.last_busy >= 0 and reading.busy != known.last_busy:
+            known.changing = True
+        known.last_busy = max(reading.busy, 0)
         known.shown_free = max(
             known.shown_free, known.spec.slots - max(reading.busy, 0)
         )
@@ -569,6 +582,10 @@
             known.limit_until_s = now_s + REFRESH_S
         if now_s < known.wait_until_s:
             shown = 0 if known.wrong_reading else known.shown_free
+            if not known.changing:
+                # The endpoint may be frozen; one request at a time makes a
+                # live one change and bounds the excess on a frozen one.
+                shown = min(shown, 1)
             limit = min(limit, shown)
             known.limit_until_s = now_s + REFRESH_S
         known.limit = limit
