Start the proofs from a settled ledger

Cause: the shared fleet was handed out while the ledger still moved units, so a fault met a fleet that was starting, not one in steady traffic. Change: the start waits until each VM holds its units and each upstream has an owner. Seen before: all units on the one VM that the test then killed.

--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -20,7 +20,7 @@
 SLOW_MS = 700.0
 ROUNDS = 8
 PARTS = (
-    deployment.Part("kept", slots=8),
+    deployment.Part("kept", upstreams=3),
     deployment.Part("gone"),
 )
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -28,6 +28,8 @@
 FAILURE_DOMAINS = ("a", "b", "c")
 VM_IDS = ("e1", "e2", "e3")
 PLENTY = 100_000.0
+# Section 3.3: total_units of the ledger.
+UNITS = 5040
 MAX_REQUEST_S = 5.0
 JOIN_S = 25.0
 # Section 1.2: a withdrawn key and a leaving upstream are honoured in 3 s.
@@ -219,6 +221,27 @@
                     JOIN_S,
                 )
 
+    async def wait_settled(self):
+        """Waits until the ledger gives each VM its units and upstreams.
+
+        A fault before that would meet a fleet that still starts.
+        """
+        await self.fleet.wait_for(
+            self._settled, "each VM to have its units and upstreams", JOIN_S
+        )
+
+    async def _settled(self):
+        ledgers = [
+            (await self.fleet.get(self.url(vm_id, "/-/status")))["ledger"]
+            for vm_id in self.fleet.vms
+        ]
+        owned = sorted(name for item in ledgers for name in item["owned"])
+        return (
+            all(item["units"] == UNITS // len(ledgers) for item in ledgers)
+            and len({item["epoch"] for item in ledgers}) == 1
+            and owned == sorted(up.name for up in self.doc.upstreams)
+        )
+
     async def _served(self, url, key_text):
         reply = await send(self.fleet.http, url, key_text=key_text)
         return reply.status == 200
@@ -244,6 +267,7 @@
         await flt.publish_vms()
         await flt.start_daemons()
         await flt.wait_version(version)
+        await running.wait_settled()
         await running.wait_served()
         yield running
 
