Find lenders of slots without a ledger

Cause: a VM that starts while the store is down reads no ledger, so it knew no owner of any upstream and asked nobody for a slot: each keyed request waited to its deadline and got 503, for as long as the outage lasted. Ruled out: freshness (fresh from its peers 2.5 s after the kill) and the rate (tokens were borrowed); the heartbeats of both peers showed free slots. Change: without a known owner the slot task asks the region's VMs whose heartbeats name slots of the service. An owner alone still decides on a slot; a VM that owns nothing refuses.

--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -563,7 +563,7 @@
             owner = self._ledger.owner_of(name)
             if owner == self._me.vm_id or owner in self._view.live:
                 found[owner] = None
-        owners = list(found)
+        owners = list(found) or self._announcing(ask)
         if self._owner.is_small(ask.service, ask.version):
             return owners
         # Equally free owners take turns.
@@ -573,6 +573,23 @@
         owners.sort(key=lambda name: -self._free_at(name, ask))
         return owners
 
+    def _announcing(self, ask: acquire_ask.AcquireAsk) -> list[str]:
+        """Returns the region's VMs whose heartbeats name slots for an ask.
+
+        A VM that started in a store outage has read no ledger and knows no
+        owner. A VM that is asked and owns nothing refuses.
+        """
+        svc = self._services.get(ask.service)
+        if svc is None:
+            return []
+        pool = slot_owner.pool_name(svc, ask.version)
+        return [
+            name
+            for name, peer in self._view.live.items()
+            if peer.beat.region == self._me.region
+            and pool in peer.beat.free_slots
+        ]
+
     def _free_at(self, name: str, ask: acquire_ask.AcquireAsk) -> int:
         member = self._view.live.get(name)
         svc = self._services.get(ask.service)
