Choose watchers among the listed VMs of a large fleet

Cause: each daemon ranked itself among the members of its region heard within 2 s. In a fleet of more than 16 it hears its tree neighbours and a few others only, so most daemons took themselves for one of the two watchers. Ruled out: the hash; the two best of a full list are the same everywhere. Change: with more than 16 listed VMs the platform's list gives the names of a region; a smaller fleet keeps using the live members. Drivers of moves use the same names. Announcements go along the tree that heartbeats use. Conclusion: watches no longer grow with the fleet. A dead watcher of a large fleet is replaced when the list drops it; the other regions' watchers serve meanwhile.

--- a/src/bramleyworks/daemon/config_task.py
+++ b/src/bramleyworks/daemon/config_task.py
@@ -63,6 +63,7 @@
         self._rng = rng or random.Random()
         self._view = fleet_view.FleetView(me.vm_id, {})
         self._neighbours: frozenset[str] = frozenset()
+        self._ranks_first = True
         self._listeners: list[Callable[[stored_config.StoredConfig], None]] = []
         self._past: dict[int, bytes] = {}
         self._own_read_s = float("-inf")
@@ -109,8 +110,14 @@
     def on_fleet(self, view: fleet_view.FleetView) -> None:
         """Takes the members to exchange configurations with."""
         self._view = view
+        # The same names as for heartbeats: a tree over the few members heard
+        # lately has other edges.
         self._neighbours = relay_tree.neighbours(
-            list(view.live), self._me.vm_id
+            [*view.heard_s, *view.live], self._me.vm_id
+        )
+        self._ranks_first = self._me.vm_id in relay_tree.watchers(
+            [*view.of_region(self._me.region), self._me.vm_id],
+            self._me.region,
         )
 
     def on_heartbeat(self, sender: str, version: int) -> None:
@@ -146,14 +153,7 @@
         """
         if self.current is None or not self._view.live:
             return True
-        names = [
-            name
-            for name, item in self._view.live.items()
-            if item.beat.region == self._me.region
-        ]
-        return self._me.vm_id in relay_tree.watchers(
-            [*names, self._me.vm_id], self._me.region
-        )
+        return self._ranks_first
 
     async def _watch_once(self) -> None:
         sent_s = self._clock()
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -54,6 +54,7 @@
         self._sequence = 0
         self._listed: frozenset[str] | None = None
         self._leaving: frozenset[str] = frozenset()
+        self._regions: dict[str, str] = {}
         self._entry_vms: tuple[entry_vm.EntryVm, ...] = ()
         self._listeners: list[Callable[[fleet_view.FleetView], None]] = []
         self._beat_listeners: list[Callable[[heartbeat.Heartbeat], None]] = []
@@ -73,7 +74,9 @@
 
     def view(self) -> fleet_view.FleetView:
         """Returns the view of the fleet now."""
-        return self._table.view(self._clock(), self._listed, self._leaving)
+        return self._table.view(
+            self._clock(), self._listed, self._leaving, self._regions
+        )
 
     def candidates(self, serves: bool) -> list[entry_vm.EntryVm]:
         """Returns the VMs that a look-up may name.
@@ -163,6 +166,7 @@
         self._leaving = frozenset(
             item.id for item in listed if item.state == "leaving"
         )
+        self._regions = {item.id: item.region for item in listed}
         self._entry_vms = tuple(
             entry_vm.EntryVm(
                 item.id,
--- a/src/bramleyworks/daemon/move_task.py
+++ b/src/bramleyworks/daemon/move_task.py
@@ -312,11 +312,7 @@
                 logging.warning("moves can not be driven: %s", exc)
 
     def _is_driver(self) -> bool:
-        same = [
-            name
-            for name, item in self._view.live.items()
-            if item.beat.region == self._me.region
-        ]
+        same = self._view.of_region(self._me.region)
         ranked = peer_rank.rank(MOVES_KEY, [*same, self._me.vm_id])
         return self._me.vm_id in ranked[:DRIVERS_PER_REGION]
 
--- a/src/bramleyworks/policy/member_table.py
+++ b/src/bramleyworks/policy/member_table.py
@@ -1,6 +1,7 @@
 """The members of the fleet as one daemon hears them."""
 
 import collections
+from collections.abc import Mapping
 
 from bramleyworks.messages import heartbeat
 from bramleyworks.policy import fleet_view
@@ -79,6 +80,7 @@
         now_s: float,
         listed: frozenset[str] | None,
         leaving: frozenset[str],
+        regions: Mapping[str, str] | None = None,
     ) -> fleet_view.FleetView:
         """Returns the view of the fleet at one moment."""
         return fleet_view.FleetView(
@@ -93,4 +95,5 @@
             heard_s={
                 name: known.heard_s for name, known in self._members.items()
             },
+            regions=regions or {},
         )
--- a/tests/policy/test_relay_tree.py
+++ b/tests/policy/test_relay_tree.py
@@ -1,7 +1,10 @@
 """Guards against members that no announcement reaches."""
 
 import pytest
+from support import beats
 
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member
 from bramleyworks.policy import relay_tree
 
 
@@ -51,3 +54,24 @@
     names = [f"vm{i}" for i in range(5)]
     assert len(relay_tree.watchers(names, "sudo")) == 2
     assert relay_tree.watchers(names[:1], "sudo") == {"vm0"}
+
+
+def test_large_fleet_has_two_watchers_a_region_though_few_are_heard():
+    # Ranked among the members heard, nearly every VM of a large fleet would
+    # watch the store.
+    regions = {f"vm{i:04d}": ("sudo", "honam")[i % 2] for i in range(400)}
+    watching = []
+    for name, region in regions.items():
+        view = fleet_view.FleetView(name, {}, regions=regions)
+        if name in relay_tree.watchers([*view.of_region(region), name], region):
+            watching.append(name)
+    assert len(watching) == 4
+
+
+def test_small_fleet_replaces_a_watcher_that_is_not_heard():
+    regions = {f"vm{i}": "sudo" for i in range(4)}
+    live = {
+        name: member.Member(beats.beat(name), 0.0) for name in ("vm1", "vm2")
+    }
+    view = fleet_view.FleetView("vm0", live, regions=regions)
+    assert sorted(view.of_region("sudo")) == ["vm1", "vm2"]
