--- a/src/bramleyworks_lab/capacity/lookup_cost.py
+++ b/src/bramleyworks_lab/capacity/lookup_cost.py
@@ -35,14 +35,14 @@
     table = synthetic.table(count)
     return cost.cpu_us(
         lambda: entry.candidates(
-            table.view(synthetic.NOW_S, None, frozenset()), None
+            table.view(synthetic.NOW_S, None, frozenset()), None, ()
         )
     )
 
 
 def _choose_us(count: int) -> float:
     view = synthetic.table(count).view(synthetic.NOW_S, None, frozenset())
-    found = entry.candidates(view, None)
+    found = entry.candidates(view, None, ())
     nearest = site.Site(*synthetic.place(1))
     return cost.cpu_us(lambda: entry.choose(found, "10.1.2.3", nearest))
 
--- a/src/bramleyworks_lab/capacity/relay_cost.py
+++ b/src/bramleyworks_lab/capacity/relay_cost.py
@@ -20,4 +20,14 @@
         functools.partial(relay_model.spread_s, dead=dead),
     )
     for name, dead in (("relay-time", 0), ("relay-time-dead-relay", 1))
+) + (
+    measurement.Measurement(
+        "watch-reads",
+        "configuration relay",
+        "daemons",
+        "1/s, fleet",
+        DAEMONS,
+        TINY_DAEMONS,
+        relay_model.store_reads_per_s,
+    ),
 )
--- a/src/bramleyworks_lab/capacity/relay_model.py
+++ b/src/bramleyworks_lab/capacity/relay_model.py
@@ -1,6 +1,7 @@
 """A fleet of configuration and member tasks on virtual time."""
 
 import asyncio
+import dataclasses
 import random
 
 from bramleyworks.daemon import config_task
@@ -20,6 +21,7 @@
 REGION_S = 0.035
 JOIN_S = 8.0
 LIMIT_S = 30.0
+COUNT_S = 5.0
 STEP_S = 0.02
 UPSTREAMS = 20
 
@@ -93,6 +95,22 @@
         )
 
 
+def store_reads_per_s(count: int) -> float:
+    """Returns the store calls of a fleet of watchers in the steady state."""
+    return virtual_loop.run(_reads_per_s(count))
+
+
+async def _reads_per_s(count: int) -> float:
+    fleet = _start(count, 1)
+    try:
+        await asyncio.sleep(JOIN_S)
+        before = fleet.store.calls
+        await asyncio.sleep(COUNT_S)
+        return (fleet.store.calls - before) / COUNT_S
+    finally:
+        await fleet.stop()
+
+
 def spread_s(count: int, dead: int, seed: int = 1) -> float:
     """Returns the time until a change is in force on all live daemons.
 
@@ -110,6 +128,41 @@
 
 
 async def _spread(count: int, dead: int, seed: int) -> float:
+    loop = asyncio.get_running_loop()
+    fleet = _start(count, seed)
+    try:
+        await asyncio.sleep(JOIN_S)
+        names = [synthetic.vm_name(i) for i in range(1, 1 + dead)]
+        fleet.network.dead.update(names)
+        live = fleet.vms[:1] + fleet.vms[1 + dead :]
+        _write(fleet.store, 2)
+        started_s = loop.time()
+        while any(vm.config.version < 2 for vm in live):
+            if loop.time() - started_s >= LIMIT_S:
+                return LIMIT_S
+            await asyncio.sleep(STEP_S)
+        return loop.time() - started_s
+    finally:
+        await fleet.stop()
+
+
+@dataclasses.dataclass
+class _Fleet:
+    """The modelled daemons and what connects them."""
+
+    vms: list[_Vm]
+    network: model_network.ModelNetwork
+    store: model_store.ModelStore
+    running: list[asyncio.Future]
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        for task in self.running:
+            task.cancel()
+        await asyncio.gather(*self.running, return_exceptions=True)
+
+
+def _start(count: int, seed: int) -> _Fleet:
     loop = asyncio.get_running_loop()
     network = model_network.ModelNetwork(
         lambda one, two: DOMAIN_S if one == two else REGION_S
@@ -139,21 +192,7 @@
         for vm in vms
         for task in (vm.members, vm.config)
     ]
-    try:
-        await asyncio.sleep(JOIN_S)
-        network.dead.update(me.vm_id for me in who[1 : 1 + dead])
-        live = vms[:1] + vms[1 + dead :]
-        _write(store, 2)
-        started_s = loop.time()
-        while any(vm.config.version < 2 for vm in live):
-            if loop.time() - started_s >= LIMIT_S:
-                return LIMIT_S
-            await asyncio.sleep(STEP_S)
-        return loop.time() - started_s
-    finally:
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+    return _Fleet(vms, network, store, running)
 
 
 def _write(store: model_store.ModelStore, version: int) -> None:
--- a/src/bramleyworks_lab/capacity/synthetic.py
+++ b/src/bramleyworks_lab/capacity/synthetic.py
@@ -67,6 +67,7 @@
         echo=sequence,
         echo_hold_s=0.25,
         joined=True,
+        serving=True,
     )
 
 
