--- a/src/bramleyworks/daemon/proxy.py
+++ b/src/bramleyworks/daemon/proxy.py
@@ -222,7 +222,7 @@
                 version=version,
                 failed=failed,
                 latency_s=now_s - started_s,
-                busy=False,
+                busy=taken.is_busy,
             )
         )
         if ended.answered is not None:
--- a/src/bramleyworks/daemon/slot.py
+++ b/src/bramleyworks/daemon/slot.py
@@ -17,6 +17,8 @@
             slot not used by then is released.
         expires_s: Monotonic time by which the request is cancelled at the
             latest.
+        is_busy: Whether the upstream is over 70% busy with it; versions that
+            are bad under load show it in such requests.
     """
 
     upstream: str
@@ -26,3 +28,4 @@
     owner: str | None
     start_by_s: float
     expires_s: float
+    is_busy: bool = False
--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -371,6 +371,7 @@
             sender,
             arrival.start_by_s,
             arrival.end_s,
+            msg.busy,
         )
         if spec.region == self._me.region:
             self._settle(waiter, lent)
@@ -441,6 +442,7 @@
             None,
             use.since_s + slot_owner.LOAN_START_S,
             use.end_s,
+            use.busy,
         )
 
     def _peers_first(self, ask: acquire_ask.AcquireAsk) -> bool:
--- a/src/bramleyworks/messages/slot_loan.py
+++ b/src/bramleyworks/messages/slot_loan.py
@@ -12,6 +12,7 @@
         upstream: Name of the upstream.
         waited_s: Seconds that the ask waited at the owner.
         lifetime_s: Seconds after the ask was sent until the loan ends.
+        busy: Whether the upstream is over 70% busy with it.
     """
 
     ask_id: int
@@ -19,3 +20,4 @@
     upstream: str
     waited_s: float
     lifetime_s: float
+    busy: bool = False
--- a/src/bramleyworks/policy/lender.py
+++ b/src/bramleyworks/policy/lender.py
@@ -105,6 +105,7 @@
             # The asker counts from when it sent the ask, which is earlier
             # than its arrival, so its deadline is before the owner's.
             use.end_s - item.arrived_s,
+            use.busy,
         )
         self._remember((item.borrower, item.ask_id), _Known(loan=loan), now_s)
         return (item.borrower, loan)
--- a/src/bramleyworks/policy/slot_owner.py
+++ b/src/bramleyworks/policy/slot_owner.py
@@ -17,6 +17,8 @@
 from bramleyworks.policy import slot_use
 from bramleyworks.policy import upstream_health
 
+# Part of its slots above which an upstream counts as busy.
+BUSY_PART = 0.7
 # A granted slot must be used within this time. A loan that starts later than a
 # new owner's first believed reading is in no count: seed 1094 of the
 # differential test overloaded an upstream this way.
@@ -556,7 +558,8 @@
             known.changing = True
         known.last_busy = max(reading.busy, 0)
         known.shown_free = max(
-            known.shown_free, known.spec.slots - max(reading.busy, 0)
+            known.shown_free,
+            known.spec.slots - max(reading.busy, 0),
         )
 
     def _refresh(self, known: _Upstream, now_s: float) -> None:
@@ -647,6 +650,7 @@
             now_s,
             now_s + pool.service.max_request_s,
             trial,
+            known.used + 1 > BUSY_PART * known.spec.slots,
         )
         self._uses[use.use_id] = use
         known.used += 1
--- a/src/bramleyworks/policy/slot_use.py
+++ b/src/bramleyworks/policy/slot_use.py
@@ -16,6 +16,7 @@
         since_s: Monotonic time at which it was taken.
         end_s: Monotonic time by which the request has been cancelled.
         trial: Whether it tests an excluded upstream.
+        busy: Whether the upstream is over 70% busy with it.
     """
 
     use_id: int
@@ -26,3 +27,4 @@
     since_s: float
     end_s: float
     trial: bool
+    busy: bool = False
--- a/src/bramleyworks_lab/model_vm.py
+++ b/src/bramleyworks_lab/model_vm.py
@@ -187,7 +187,7 @@
                 version=version,
                 failed=not is_ok,
                 latency_s=world.clock() - started_s - 2 * delay_s,
-                busy=False,
+                busy=taken.is_busy,
             )
         )
         return is_ok
--- a/src/bramleyworks_lab/slot_sim.py
+++ b/src/bramleyworks_lab/slot_sim.py
@@ -20,6 +20,7 @@
 from bramleyworks.document import upstream
 from bramleyworks.messages import heartbeat
 from bramleyworks.policy import fleet_view
+from bramleyworks.policy import ledger
 from bramleyworks.policy import member
 from bramleyworks.policy import probe_reading
 from bramleyworks.policy import slot_outcome
