Share one fleet among all proofs

Change: one session fleet with parts of its own for each proof, because seven starts took more than 60 s. The two drains of upstreams run together.

--- /dev/null
+++ b/tests/proofs/test_stops.py
@@ -0,0 +1,159 @@
+"""Proofs of graceful stops (I12) and of leaving upstreams (I11)."""
+
+import asyncio
+import hashlib
+import time
+
+import pytest
+from support import deployment
+
+from bramleyworks_standins import pattern
+
+pytestmark = pytest.mark.asyncio(loop_scope="session")
+
+DOCUMENT_BYTES = 40_000_000
+DOWNLOAD_S = 9.0
+# Section 3.1: an answer to a look-up may be used for this long.
+TTL_S = 5.0
+CALLERS = 12
+
+
+async def _load(running, name, stop, found):
+    """Sends through all VMs on kept connections until the event is set."""
+    key_text = running.parts[name].key
+
+    async def one(session, i):
+        url = running.url(deployment.VM_IDS[i % 3], f"/{name}/{i}")
+        while not stop.is_set():
+            found.append(await deployment.send(session, url, key_text=key_text))
+
+    async with deployment.caller() as session:
+        await asyncio.gather(*(one(session, i) for i in range(CALLERS)))
+
+
+async def test_leaving_upstreams_get_no_new_work(running):
+    """Guards against work for an upstream that drains, and against breaks.
+
+    One leaves by the document, one by its own health endpoint.
+    """
+    names = ("leave-1", "leave-2")
+    stop = asyncio.Event()
+    replies = []
+    load = asyncio.create_task(_load(running, "leave", stop, replies))
+    await asyncio.sleep(1.0)
+    for name in names:
+        assert (await running.fleet.runs(name))["runs"] > 0
+    url = running.fleet.urls["leave-2"]
+    await running.fleet.post(f"{url}/-/drain", {"draining": True})
+    await running.write(running.with_drain("leave-1"))
+    await asyncio.sleep(deployment.TARGET_S)
+    drained = [await running.fleet.runs(name) for name in names]
+    count = len(replies)
+    await asyncio.sleep(1.5)
+    stop.set()
+    await load
+    for name, before in zip(names, drained, strict=True):
+        after = await running.fleet.runs(name)
+        assert after["runs"] == before["runs"], name
+        assert after["runs_after_drain"] == 0, name
+        assert after["cancelled"] == 0, name
+        assert after["incomplete"] == 0, name
+    assert {reply.status for reply in replies} == {200}
+    # The third takes over the work.
+    assert len(replies) > count
+
+
+async def _named(session, running, vm_id):
+    reply = await deployment.send(
+        session, running.url(vm_id, "/v1/entry?client=127.0.0.1")
+    )
+    assert reply.status == 200
+    return {item["id"] for item in reply.json["vms"]}
+
+
+async def _download(running, started):
+    """Reads a document evenly; returns its size and digest."""
+    digest = hashlib.sha256()
+    size = 0
+    begun_s = time.monotonic()
+    async with (
+        deployment.caller() as session,
+        session.get(
+            running.url("e1", f"/documents/d?bytes={DOCUMENT_BYTES}"),
+            headers={"X-Api-Key": running.parts["files"].key},
+            timeout=None,
+        ) as resp,
+    ):
+        assert resp.status == 200
+        async for chunk in resp.content.iter_chunked(64 * 1024):
+            digest.update(chunk)
+            size += len(chunk)
+            started.set()
+            ahead_s = DOWNLOAD_S * size / DOCUMENT_BYTES
+            await asyncio.sleep(max(0.0, begun_s + ahead_s - time.monotonic()))
+    return size, digest.hexdigest()
+
+
+async def test_stop_breaks_off_nothing(running):
+    """Guards against a stop that cuts requests, a download or callers off.
+
+    Callers use e1 until their look-up, made before the stop, has expired.
+    """
+    key_text = running.parts["used"].key
+    child = running.fleet.children["e1"]
+    started = asyncio.Event()
+    replies = {"GET": [], "POST": []}
+    async with deployment.caller() as session, asyncio.TaskGroup() as group:
+        assert "e1" in await _named(session, running, "e2")
+        download = group.create_task(_download(running, started))
+        await started.wait()
+        signalled_s = time.monotonic()
+
+        async def use(method, i):
+            while time.monotonic() < signalled_s + TTL_S:
+                replies[method].append(
+                    await deployment.send(
+                        session,
+                        running.url("e1", f"/used/{i}"),
+                        method,
+                        key_text,
+                        data=b"order" if method == "POST" else None,
+                    )
+                )
+
+        callers = [
+            group.create_task(use(method, i))
+            for method in ("GET", "POST")
+            for i in range(CALLERS // 2)
+        ]
+        await asyncio.sleep(0.3)
+        signalled_s = time.monotonic()
+        child.terminate()
+        for vm_id in ("e1", "e2", "e3"):
+            await deployment.until(
+                lambda vm_id=vm_id: _lacks(session, running, vm_id, "e1"),
+                deployment.TARGET_S,
+                f"{vm_id} to stop naming e1",
+            )
+        await asyncio.gather(*callers)
+        assert child.exit_code() is None
+        size, digest = await download
+    whole = hashlib.sha256()
+    for part in pattern.chunks("d", DOCUMENT_BYTES):
+        whole.update(part)
+    assert (size, digest) == (DOCUMENT_BYTES, whole.hexdigest())
+    assert {reply.status for reply in replies["GET"]} == {200}
+    # The VM stops issuing tickets, so an order that brings none is refused
+    # and may go elsewhere.
+    assert {
+        (reply.status, reply.json.get("outcome")) for reply in replies["POST"]
+    } <= {(200, None), (503, "not_run")}
+    assert await asyncio.to_thread(child.wait, 30.0) == 0
+    for name in running.parts["used"].names:
+        runs = await running.fleet.runs(name)
+        assert runs["cancelled"] == 0
+        assert runs["incomplete"] == 0
+
+
+async def _lacks(session, running, vm_id, gone):
+    return gone not in await _named(session, running, vm_id)
