Tune the tests of versions and guard two more rules

Cause: 4 of 30 bad versions (5% failures on one route of 60 requests/s) got more than 2% of that route; a malformed store value made the watch return at once in a loop; the test of mixed load strata did not fail when they were mixed. Change: 8 restarts instead of 16, margin 0.1% instead of 0.25%, 8 events instead of 6 needed for a cut; the revision of a malformed value counts as read; both faults have a test.

--- a/src/bramleyworks/daemon/move_task.py
+++ b/src/bramleyworks/daemon/move_task.py
@@ -395,11 +395,13 @@
     def _adopt(self, entry: store_entry.StoreEntry) -> None:
         if entry.revision <= self._revision:
             return
+        # Also for a malformed value, or the watch would return it at once
+        # again and again.
+        self._revision = entry.revision
         records = move_record.decode_all(entry.value)
         if records is None:
             logging.error("move.read: the store value is malformed")
             return
-        self._revision = entry.revision
         for move_id, record in records.items():
             known = self._records.get(move_id)
             if known is None or known[0] < entry.revision:
--- a/src/bramleyworks/policy/canary_stats.py
+++ b/src/bramleyworks/policy/canary_stats.py
@@ -11,7 +11,7 @@
 critique de la notion de collectif", 1939) it ever reaches 1/a with a
 probability of at most a. A look after each sample is therefore allowed.
 
-To detect a fault that appears late, the test restarts at 16 evenly spaced
+To detect a fault that appears late, the test restarts at 8 evenly spaced
 times, and the restart with the highest ratio counts, as in the cumulative sum
 test (Page, "Continuous Inspection Schemes", Biometrika 41, 1954). By the union
 bound over tests, alternatives and restarts, a good version is cut with a
@@ -27,19 +27,21 @@
 from bramleyworks.policy import sample as sample_module
 
 FALSE_CUT = 0.005
-RESTARTS = 16
+RESTARTS = 8
 # Failure rates are compared with this multiple of the old one plus this
 # margin, so that a difference without practical meaning is no evidence.
 RATE_FACTOR = 1.25
-RATE_MARGIN = 0.0025
+RATE_MARGIN = 0.001
 SLOW_FACTOR = 1.3
 SLOW_RATE = 0.05
 # Increase of the rate under the two alternatives.
 FAIL_RISES = (0.03, 0.3)
 SLOW_RISES = (0.1, 0.4)
 # One upstream that dies fails up to 5 requests at once, because upstreams
-# have at most 5 slots today. That alone is no evidence against the version.
-MIN_EVENTS = 6
+# have at most 5 slots today. That and two chance failures are no evidence
+# against the version: with 6, 3 of 100 simulated good moves at 40 requests/s
+# were cut when one upstream died.
+MIN_EVENTS = 8
 # Old samples needed for a p95 value with a useful precision.
 MIN_TIMED = 100
 
--- a/tests/daemon/test_move_task.py
+++ b/tests/daemon/test_move_task.py
@@ -482,6 +482,21 @@
     assert late.choose("s", "/x") == "2"
 
 
+async def test_a_malformed_value_is_neither_obeyed_nor_overwritten():
+    """Verdicts would be lost, or the watch would spin on the value."""
+    fleet = Fleet()
+    await run_until(fleet, START_S + 10)
+    share = fleet.share("a")
+    entry = await fleet.store.get(move_task.MOVES_KEY)
+    await fleet.store.put(move_task.MOVES_KEY, b"{", entry.revision)
+    await run_until(fleet, START_S + 60)
+    await fleet.tasks["a"].read()
+    assert (await fleet.store.get(move_task.MOVES_KEY)).value == b"{"
+    assert fleet.share("a") == share
+    revision = fleet.tasks["a"]._revision
+    assert await fleet.store.watch(move_task.MOVES_KEY, revision, 0) is None
+
+
 async def test_the_running_task_drives_reads_and_ticks(monkeypatch):
     """A loop that dies or blocks would stop the move without a sign."""
     for name in ("DRIVE_EVERY_S", "TICK_S", "WATCH_S", "RETRY_S"):
--- a/tests/policy/test_canary_stats.py
+++ b/tests/policy/test_canary_stats.py
@@ -112,6 +112,7 @@
     feed(evidence, "1", 4000, latency_s=0.05)
     feed(evidence, "1", 120, latency_s=0.2, busy=True)
     evidence.check(("a", "i"), 1.0)
+    feed(evidence, "1", 4000, latency_s=0.05)
     feed(evidence, "1", 120, latency_s=0.2, busy=True)
     feed(evidence, "2", 500, latency_s=0.2, busy=True)
     assert evidence.check(("a", "i"), 2.0) is None
