Make the answer to configuration pulls once for each base

Cause: a relay decoded the base and made the same delta for each of up to 16 children, on the event loop. Ruled out: the codec; one answer costs what a full comparison costs. Change: answers are kept by base version until the next version; peers whose version is not kept share one compressed whole.

--- a/src/bramleyworks/daemon/config_task.py
+++ b/src/bramleyworks/daemon/config_task.py
@@ -16,6 +16,7 @@
 from bramleyworks.document import delta
 from bramleyworks.document import stored_config
 from bramleyworks.messages import announce
+from bramleyworks.messages import codec as message_codec
 from bramleyworks.messages import config_delta
 from bramleyworks.messages import config_whole
 from bramleyworks.messages import pull_config
@@ -66,6 +67,8 @@
         self._ranks_first = True
         self._listeners: list[Callable[[stored_config.StoredConfig], None]] = []
         self._past: dict[int, bytes] = {}
+        # A relay sends the same answer to each of its up to 16 children.
+        self._answers: dict[int, message_codec.Message] = {}
         self._own_read_s = float("-inf")
         self._confirmed_s = float("-inf")
         self._pulled_s: dict[str, float] = {}
@@ -185,6 +188,7 @@
         if stored.version <= self.version:
             return False
         self.current = stored
+        self._answers.clear()
         self._past[stored.version] = data
         while len(self._past) > KEPT_VERSIONS:
             del self._past[min(self._past)]
@@ -225,23 +229,26 @@
     def _on_pull(self, sender: str, msg: pull_config.PullConfig) -> None:
         if self.current is None or msg.have_version >= self.version:
             return
-        data = self._past[self.version]
-        base = self._past.get(msg.have_version)
-        if base is None:
-            whole = config_whole.ConfigWhole(self.version, zlib.compress(data))
-            self._link.send(sender, whole)
-            return
-        old = codec.decode_stored(base, "self").unwrap()
-        self._link.send(
-            sender,
-            config_delta.ConfigDelta(
-                base_version=msg.have_version,
-                version=self.version,
-                digest=hashlib.sha256(
-                    codec.encode_stored(self.current)
-                ).hexdigest(),
-                ops=delta.make(old, self.current),
-            ),
+        # A version that is not kept gets the whole, whichever it is.
+        base = msg.have_version if msg.have_version in self._past else 0
+        answer = self._answers.get(base)
+        if answer is None:
+            answer = self._answers[base] = self._answer(base)
+        self._link.send(sender, answer)
+
+    def _answer(self, base: int) -> message_codec.Message:
+        """Returns the configuration for a peer, whole if the base is 0."""
+        if not base:
+            data = zlib.compress(self._past[self.version])
+            return config_whole.ConfigWhole(self.version, data)
+        old = codec.decode_stored(self._past[base], "self").unwrap()
+        return config_delta.ConfigDelta(
+            base_version=base,
+            version=self.version,
+            digest=hashlib.sha256(
+                codec.encode_stored(self.current)
+            ).hexdigest(),
+            ops=delta.make(old, self.current),
         )
 
     def _on_delta(self, sender: str, msg: config_delta.ConfigDelta) -> None:
--- /dev/null
+++ b/tests/daemon/test_config_task.py
@@ -0,0 +1,84 @@
+"""Guards against a relay that answers slowly or wrongly."""
+
+import random
+
+from support import sample_document
+
+from bramleyworks.daemon import config_task
+from bramleyworks.daemon import identity
+from bramleyworks.document import codec
+from bramleyworks.document import delta
+from bramleyworks.document import stored_config
+from bramleyworks.messages import config_delta
+from bramleyworks.messages import config_whole
+from bramleyworks.messages import pull_config
+from bramleyworks.policy import member_table
+
+
+class Link:
+    """Keeps what was sent."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def register(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, name, msg):
+        self.sent.append((name, msg))
+        return True
+
+
+def offer(task, version, slots):
+    doc = sample_document.build((("upstreams", 0, "slots"), slots))
+    stored = stored_config.StoredConfig(version, f"id{version}", "a", 0.0, doc)
+    data = codec.encode_stored(stored)
+    task.offer(codec.decode_stored(data).unwrap(), data)
+
+
+def make_task():
+    link = Link()
+    task = config_task.ConfigTask(
+        identity.Identity("vm0", "i", "sudo", "a", "h", "p"),
+        link,
+        None,
+        member_table.MemberTable("vm0"),
+        lambda: 10.0,
+        random.Random(1),
+    )
+    return task, link
+
+
+def pull(link, name, have):
+    link.handlers[pull_config.PullConfig](name, pull_config.PullConfig(have))
+    return link.sent[-1][1]
+
+
+def test_children_with_the_same_base_share_one_delta(monkeypatch):
+    # A relay of a large document would spend seconds on equal deltas.
+    task, link = make_task()
+    offer(task, 1, 5)
+    offer(task, 2, 6)
+    made = []
+    make = delta.make
+    monkeypatch.setattr(
+        delta, "make", lambda old, new: made.append(1) or make(old, new)
+    )
+    answers = [pull(link, f"vm{i}", 1) for i in range(1, 17)]
+    assert len(made) == 1
+    assert all(isinstance(item, config_delta.ConfigDelta) for item in answers)
+    assert [name for name, _ in link.sent] == [f"vm{i}" for i in range(1, 17)]
+
+
+def test_a_newer_version_replaces_the_kept_answers():
+    task, link = make_task()
+    offer(task, 1, 5)
+    offer(task, 2, 6)
+    pull(link, "vm1", 1)
+    assert pull(link, "vm1", 0).version == 2
+    offer(task, 3, 7)
+    assert pull(link, "vm1", 1).version == 3
+    whole = pull(link, "vm1", 0)
+    assert isinstance(whole, config_whole.ConfigWhole)
+    assert whole.version == 3
