--- a/src/bramleyworks_lab/capacity/config_cost.py
+++ b/src/bramleyworks_lab/capacity/config_cost.py
@@ -1,5 +1,7 @@
 """Cost of a document of growing size, by its upstreams."""
 
+import zlib
+
 from bramleyworks.document import codec
 from bramleyworks.document import delta
 from bramleyworks.document import validation
@@ -15,6 +17,11 @@
     return float(len(codec.encode_stored(synthetic.stored(count))))
 
 
+def _compressed_bytes(count: int) -> float:
+    data = codec.encode_stored(synthetic.stored(count))
+    return float(len(zlib.compress(data)))
+
+
 def _kept_bytes(count: int) -> float:
     data = codec.encode_stored(synthetic.stored(count))
     return cost.kept_bytes(lambda: codec.decode_stored(data).unwrap())
@@ -63,6 +70,7 @@
     )
     for name, unit, run in (
         ("document-stored-bytes", "bytes", _stored_bytes),
+        ("document-compressed-bytes", "bytes", _compressed_bytes),
         ("document-kept-bytes", "bytes", _kept_bytes),
         ("document-validate", "us", _validate_us),
         ("document-decode", "us", _decode_us),
--- a/src/bramleyworks_lab/capacity/member_cost.py
+++ b/src/bramleyworks_lab/capacity/member_cost.py
@@ -2,7 +2,10 @@
 
 import itertools
 
+import msgspec
+
 from bramleyworks.messages import codec
+from bramleyworks.platform import listed_vm
 from bramleyworks.policy import freshness
 from bramleyworks.policy import relay_tree
 from bramleyworks_lab.capacity import cost
@@ -73,6 +76,23 @@
     )
 
 
+def _list_bytes(count: int) -> float:
+    """Returns the size of the platform's list in the stand-in's format."""
+    listed = []
+    for number in range(count):
+        beat = synthetic.beat(number)
+        listed.append(
+            listed_vm.ListedVm(
+                beat.vm_id,
+                beat.region,
+                beat.failure_domain,
+                beat.http,
+                beat.peer,
+            )
+        )
+    return float(len(msgspec.json.encode({"vms": listed})))
+
+
 def _beat_bytes(moves: int) -> float:
     beat = synthetic.beat_with_moves(moves)
     return float(len(codec.encode(beat)))
@@ -85,6 +105,7 @@
     for name, unit, run in (
         ("member-bytes", "bytes", _member_bytes),
         ("member-view", "us", _view_us),
+        ("vm-list-bytes", "bytes", _list_bytes),
         ("heartbeat-receive", "us", _hear_us),
         ("relay-neighbours", "us", _neighbours_us),
         ("relay-neighbour-number", "peers", _neighbour_number),
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -20,6 +20,7 @@
 OUTAGE_S = 3.0
 # Watchers reconnect with a random delay of up to 2 s.
 RUSH_S = 2.0
+RESTART_WINDOW_S = 4.0
 LOOKUPS = (500, 1000, 2000)
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -133,17 +134,20 @@
 async def _restart(flt: fleet.Fleet) -> Values:
     vm = list(flt.vms.values())[-1]
     vm.process.kill()
+    started_s = time.monotonic()
     flt.start_daemon(vm)
     await flt.wait_ready(vm)
-    started_s = time.monotonic()
 
     async def fresh():
         status = await flt.get(f"{vm.url}/-/status")
         return status if status["fresh"] else None
 
-    status = await flt.wait_for(fresh, f"{vm.id} with fresh evidence")
+    await flt.wait_for(fresh, f"{vm.id} with fresh evidence")
+    fresh_s = time.monotonic() - started_s
+    await asyncio.sleep(RESTART_WINDOW_S)
+    status = await flt.get(f"{vm.url}/-/status")
     return {
-        "restart-fresh": time.monotonic() - started_s,
+        "restart-fresh": fresh_s,
         "restart-received": status["link"].get("received_bytes", 0.0),
     }
 
@@ -227,6 +231,13 @@
         )
         for name, unit in UNITS.items()
     ]
+    messages = tuple(round(values["daemon-messages"]) for values in found)
+    spent = tuple(values["daemon-cpu"] for values in found)
+    made.append(
+        row.make(
+            "daemon-cpu-by-messages", "messages/s", "ms/s", messages, spent
+        )
+    )
     lookups = await measure_lookups()
     made.append(
         row.make("lookup-daemon-cpu", "look-ups", "ms", LOOKUPS, lookups)
