--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 export PYTHONPATH := src
 
-.PHONY: demo test bench capacity format
+.PHONY: demo test bench speed capacity format
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +18,9 @@
 bench: $(VENV)/ready
 	$(VENV)/bin/python tools/bench.py
 
+speed: $(VENV)/ready
+	$(VENV)/bin/python tools/bench_forward.py
+
 capacity: $(VENV)/ready
 	$(VENV)/bin/python tools/capacity.py
 
--- a/src/bramleyworks/cli/store_opening.py
+++ b/src/bramleyworks/cli/store_opening.py
@@ -1,11 +1,11 @@
 """The one place that creates the store adapter."""
 
-from contextlib import AbstractAsyncContextManager
+import contextlib
 
 from bramleyworks.platform import store
 from bramleyworks.platform import store_http
 
 
-def open_store(url: str) -> AbstractAsyncContextManager[store.Store]:
+def open_store(url: str) -> contextlib.AbstractAsyncContextManager[store.Store]:
     """Returns a context that opens the store at a URL and closes it."""
     return store_http.HttpStore(url)
--- a/src/bramleyworks/console/console_app.py
+++ b/src/bramleyworks/console/console_app.py
@@ -3,7 +3,6 @@
 import contextlib
 import secrets
 from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
 
 from starlette import applications
 from starlette import exceptions
@@ -25,7 +24,7 @@
 
 SESSION_S = 12 * 3600
 
-Opener = Callable[[], AbstractAsyncContextManager[store.Store]]
+Opener = Callable[[], contextlib.AbstractAsyncContextManager[store.Store]]
 
 
 def build(
--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -143,6 +143,7 @@
                 self._config.subscribe(task.on_config)
             self._members.subscribe(task.on_fleet)
         self._config.subscribe(self._on_config)
+        self._config.subscribe(self._members.on_config)
         self._members.subscribe_beats(
             lambda beat: self._config.on_heartbeat(
                 beat.vm_id, beat.config_version
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -11,6 +11,7 @@
 from bramleyworks.daemon import heartbeat_builder
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import peer_link
+from bramleyworks.document import stored_config
 from bramleyworks.messages import heartbeat
 from bramleyworks.platform import listed_vm
 from bramleyworks.platform import vm_list
@@ -55,6 +56,7 @@
         self._listed: frozenset[str] | None = None
         self._leaving: frozenset[str] = frozenset()
         self._regions: dict[str, str] = {}
+        self._drained: frozenset[str] = frozenset()
         self._entry_vms: tuple[entry_vm.EntryVm, ...] = ()
         self._listeners: list[Callable[[fleet_view.FleetView], None]] = []
         self._beat_listeners: list[Callable[[heartbeat.Heartbeat], None]] = []
@@ -90,7 +92,16 @@
             site.Site(self._me.region, self._me.failure_domain),
         )
         return entry.candidates(
-            self.view(), own if serves else None, self._entry_vms
+            self.view(),
+            own if serves else None,
+            self._entry_vms,
+            self._drained,
+        )
+
+    def on_config(self, stored: stored_config.StoredConfig) -> None:
+        """Takes the drained VMs of a newer configuration."""
+        self._drained = frozenset(
+            item.target for item in stored.doc.drains if item.kind == "vm"
         )
 
     async def run(self) -> None:
--- a/src/bramleyworks/policy/entry.py
+++ b/src/bramleyworks/policy/entry.py
@@ -17,6 +17,7 @@
     view: fleet_view.FleetView,
     own: entry_vm.EntryVm | None,
     listed: Iterable[entry_vm.EntryVm],
+    drained: frozenset[str] = frozenset(),
 ) -> list[entry_vm.EntryVm]:
     """Returns the VMs that a look-up may name.
 
@@ -28,6 +29,8 @@
         view: The fleet as this daemon sees it.
         own: This VM, None while it drains or does not serve.
         listed: VMs on the platform's list that are not leaving.
+        drained: VMs that the document drains; named only if no other VM can
+            be.
     """
     found = [
         entry_vm.EntryVm(
@@ -43,7 +46,7 @@
     if own is not None and own.vm_id not in view.leaving:
         found.append(own)
     if found:
-        return found
+        return [vm for vm in found if vm.vm_id not in drained] or found
     return [
         vm
         for vm in listed
--- a/tests/policy/test_entry.py
+++ b/tests/policy/test_entry.py
@@ -56,3 +56,14 @@
     view = table.view(10.0, None, frozenset())
     named = entry.candidates(view, None, VMS)
     assert [vm.vm_id for vm in named] == ["vm2"]
+
+
+def test_a_drained_vm_is_named_only_if_no_other_can_be():
+    table = member_table.MemberTable("vm0")
+    table.hear(beats.beat("vm1"), 10.0)
+    table.hear(beats.beat("vm2"), 10.0)
+    view = table.view(10.0, None, frozenset())
+    named = entry.candidates(view, None, (), frozenset({"vm1"}))
+    assert [vm.vm_id for vm in named] == ["vm2"]
+    both = frozenset({"vm1", "vm2"})
+    assert len(entry.candidates(view, None, (), both)) == 2
