--- a/src/bramleyworks_lab/capacity/relay_cost.py
+++ b/src/bramleyworks_lab/capacity/relay_cost.py
@@ -30,4 +30,13 @@
         TINY_DAEMONS,
         relay_model.store_reads_per_s,
     ),
+    measurement.Measurement(
+        "evidence-age",
+        "configuration relay",
+        "daemons",
+        "s (virtual)",
+        DAEMONS,
+        TINY_DAEMONS,
+        relay_model.oldest_evidence_s,
+    ),
 )
--- a/src/bramleyworks_lab/capacity/relay_model.py
+++ b/src/bramleyworks_lab/capacity/relay_model.py
@@ -22,6 +22,8 @@
 JOIN_S = 8.0
 LIMIT_S = 30.0
 COUNT_S = 5.0
+AGE_SAMPLES = 4
+AGE_STEP_S = 0.9
 STEP_S = 0.02
 UPSTREAMS = 20
 
@@ -111,6 +113,25 @@
         await fleet.stop()
 
 
+def oldest_evidence_s(count: int) -> float:
+    """Returns the highest age of freshness evidence in a steady fleet."""
+    return virtual_loop.run(_oldest_s(count))
+
+
+async def _oldest_s(count: int) -> float:
+    fleet = _start(count, 1)
+    oldest_s = 0.0
+    try:
+        await asyncio.sleep(JOIN_S)
+        for _ in range(AGE_SAMPLES):
+            await asyncio.sleep(AGE_STEP_S)
+            ages = [vm.config.fresh_age_s() for vm in fleet.vms]
+            oldest_s = max(oldest_s, *ages)
+        return oldest_s
+    finally:
+        await fleet.stop()
+
+
 def spread_s(count: int, dead: int, seed: int = 1) -> float:
     """Returns the time until a change is in force on all live daemons.
 
