--- a/tests/proofs/test_keys.py
+++ b/tests/proofs/test_keys.py
@@ -200,6 +200,8 @@
 
 async def test_golden_session(running, snapshot):
     """Guards against a change that callers or upstreams would notice."""
+    await running.wait_settled()
+    await running.wait_served(names=["golden"])
     part = running.parts["golden"]
     url = running.url("e1")
     before = await running.fleet.runs("golden-1")
--- a/tests/proofs/test_orders.py
+++ b/tests/proofs/test_orders.py
@@ -53,6 +53,8 @@
     issuer, or not sent yet. Callers repeat at once through e2, later through
     e3, and through e1 after its restart.
     """
+    await running.wait_settled()
+    await running.wait_served(names=["orders"])
     book = Book(running, "orders")
     flt = running.fleet
     async with deployment.caller() as session:
--- a/tests/proofs/test_stops.py
+++ b/tests/proofs/test_stops.py
@@ -31,6 +31,10 @@
         await asyncio.gather(*(one(session, i) for i in range(CALLERS)))
 
 
+async def _has_work(running, name):
+    return (await running.fleet.runs(name))["runs"] > 0
+
+
 async def test_leaving_upstreams_get_no_new_work(running):
     """Guards against work for an upstream that drains, and against breaks.
 
@@ -40,9 +44,10 @@
     stop = asyncio.Event()
     replies = []
     load = asyncio.create_task(_load(running, "leave", stop, replies))
-    await asyncio.sleep(1.0)
     for name in names:
-        assert (await running.fleet.runs(name))["runs"] > 0
+        await deployment.until(
+            lambda name=name: _has_work(running, name), 10.0, f"work for {name}"
+        )
     url = running.fleet.urls["leave-2"]
     await running.fleet.post(f"{url}/-/drain", {"draining": True})
     await running.write(running.with_drain("leave-1"))
