Wait for a usable upstream in the proof of the key headers

Cause: the full run of the proofs gave 34 passed, 1 failed in 120 s: the upstream's owner had been restarted by the proof of the store outage, so only 6 of the 8 requests that must get through did. Change: the proof waits for a settled ledger and a served route first.

--- a/tests/proofs/test_keys.py
+++ b/tests/proofs/test_keys.py
@@ -25,6 +25,8 @@
 
     The key comes in each header, in both, and in a header of another name.
     """
+    await running.wait_settled()
+    await running.wait_served(names=["plain"])
     part = running.parts["plain"]
     headers = (
         {"Authorization": f"Bearer {part.key}"},
