--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -214,18 +214,24 @@
         started_s = time.monotonic()
         self._members.beat_now()
         self._front.drain()
-        self._desk.close_unused()
         while time.monotonic() - started_s < self._cfg.drain_s:
             if self._server.should_exit:
                 break
-            if time.monotonic() - started_s >= LOOKUP_DRAIN_S and self._idle():
-                break
+            if time.monotonic() - started_s >= LOOKUP_DRAIN_S:
+                # Callers that still come here during the look-up's lifetime
+                # get tickets; refusing them would refuse their orders.
+                self._desk.close_unused()
+                if self._idle():
+                    break
             await asyncio.sleep(DRAIN_POLL_S)
         try:
             holders = await self._desk.hand_over()
             logging.info("tickets handed over to %s", ", ".join(holders))
             await self._ledger.leave()
             await self._audit.flush()
+            # Peers learn from the next heartbeat that the ledger has changed,
+            # and the last parts of the hand-over leave the socket.
+            await asyncio.sleep(member_task.HEARTBEAT_S)
         except errors.BramleyworksError as exc:
             logging.warning("stopping without a clean hand-over: %s", exc)
 
--- a/tests/proofs/test_keys.py
+++ b/tests/proofs/test_keys.py
@@ -156,6 +156,8 @@
 
 async def test_bad_framing_does_not_spoil_the_answer_before_it(running):
     """Guards against a 400 that is taken for a running request's answer."""
+    await running.wait_settled()
+    await running.wait_served(names=["plain"])
     await running.fleet.faults("plain-1", late_share=1.0, late_ms=300.0)
     before = (await running.runs("plain"))["runs"]
     host, _, port = running.fleet.vms["e1"].http.rpartition(":")
@@ -247,6 +249,8 @@
 
 async def test_withdrawn_key_stops_on_connections_in_use(running):
     """Guards against a key that stays good for an open connection."""
+    await running.wait_settled()
+    await running.wait_served(names=["steady"])
     key_text = running.parts["steady"].key
     stop = asyncio.Event()
     found = {vm_id: [] for vm_id in deployment.VM_IDS}
@@ -285,6 +289,8 @@
     pause, so that they are the first thing the daemon sees. Others of an
     organisation with a small rate come through all VMs meanwhile.
     """
+    await running.wait_settled()
+    await running.wait_served(names=["paused", "small"])
     vm = running.fleet.vms["e3"]
     key_text = running.parts["paused"].key
     small = running.parts["small"]
--- a/tests/proofs/test_orders.py
+++ b/tests/proofs/test_orders.py
@@ -101,6 +101,9 @@
 @pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
 async def test_reset_after_the_order_never_runs_it_again(running, method):
     """Guards against a retry, ours or the client library's, after a reset."""
+    await running.wait_settled()
+    await running.fleet.faults("lost-1", reset_share=0.0)
+    await running.wait_served(names=["lost"])
     part = running.parts["lost"]
     await running.fleet.faults("lost-1", reset_share=1.0)
     async with deployment.caller() as session:
--- a/tests/proofs/test_stops.py
+++ b/tests/proofs/test_stops.py
@@ -40,6 +40,8 @@
 
     One leaves by the document, one by its own health endpoint.
     """
+    await running.wait_settled()
+    await running.wait_served(names=["leave"])
     names = ("leave-1", "leave-2")
     stop = asyncio.Event()
     replies = []
@@ -104,6 +106,8 @@
 
     Callers use e1 until their look-up, made before the stop, has expired.
     """
+    await running.wait_settled()
+    await running.wait_served(names=["used"])
     key_text = running.parts["used"].key
     child = running.fleet.children["e1"]
     started = asyncio.Event()
