Confirm nothing by an unreadable configuration; time versions to the head

Cause: after a value of the store that can not be decoded, the next watch without news confirmed the old configuration as fresh, although the value may hold a newer one with a key withdrawn. Samples of versions held the time of streaming to the caller and the way to other regions, which says nothing about a version. Change: an unreadable value confirms nothing; samples end at the head of the answer, and answers from other regions count only if they failed. Measured: test_unreadable_value_confirms_nothing failed before and passes; the distribution of whole configurations and deltas has tests of its own.

--- a/src/bramleyworks/daemon/call_progress.py
+++ b/src/bramleyworks/daemon/call_progress.py
@@ -7,10 +7,13 @@
     Attributes:
         started: Whether the head of an answer went to the caller.
         peer: Upstream that the request was sent to last, ``"-"`` for none.
+        head_s: Monotonic time at which the head of that upstream's answer
+            arrived, None before.
     """
 
-    __slots__ = ("peer", "started")
+    __slots__ = ("head_s", "peer", "started")
 
     def __init__(self):
         self.started = False
         self.peer = "-"
+        self.head_s: float | None = None
--- a/src/bramleyworks/daemon/config_task.py
+++ b/src/bramleyworks/daemon/config_task.py
@@ -73,6 +73,7 @@
         self._confirmed_s = float("-inf")
         self._pulled_s: dict[str, float] = {}
         self._revision = 0
+        self._is_readable = True
         self.current: stored_config.StoredConfig | None = None
         self.joined = False
         self.store_failed_s: float | None = None
@@ -167,11 +168,13 @@
             decoded = codec.decode_stored(entry.value, "store")
             if decoded.is_err():
                 logging.error("configuration ignored: %s", decoded.unwrap_err())
-                self._revision = entry.revision
-                return
-            self.offer(decoded.unwrap(), entry.value)
+            else:
+                self.offer(decoded.unwrap(), entry.value)
+            # A value that can not be read may hold a newer configuration, so
+            # it confirms nothing.
+            self._is_readable = decoded.is_ok()
             self._revision = entry.revision
-        if self.current is not None and self._revision:
+        if self.current is not None and self._revision and self._is_readable:
             self._own_read_s = max(self._own_read_s, sent_s)
             self._renew()
 
--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -109,6 +109,7 @@
             self._moves,
             self._metrics,
             lambda item: self._front.is_valid(item),
+            self.me.region,
         )
         self._api = api.Api(
             self.me, self._candidates, self._status, self._issue, self._metrics
--- a/src/bramleyworks/daemon/proxy.py
+++ b/src/bramleyworks/daemon/proxy.py
@@ -37,6 +37,7 @@
         moves: move_task.MoveTask,
         measured: metrics.Metrics,
         is_valid: Callable[[call.Call], bool],
+        region: str,
         clock: Callable[[], float] = time.monotonic,
     ):
         """Takes the collaborators.
@@ -48,6 +49,7 @@
             measured: Counts answers.
             is_valid: Whether the key of a call is still good; asked right
                 before the request is sent, because it may have queued.
+            region: Region of this VM.
             clock: Monotonic time in seconds.
         """
         self._forward = forward
@@ -55,6 +57,7 @@
         self._moves = moves
         self._metrics = measured
         self._is_valid = is_valid
+        self._region = region
         self._clock = clock
         self.draining = False
 
@@ -164,6 +167,7 @@
         remaining_s = min(item.deadline_s, taken.expires_s) - self._clock()
         outgoing["X-Deadline-Ms"] = str(max(0, int(remaining_s * 1000)))
         item.progress.peer = taken.upstream
+        item.progress.head_s = None
         response: aiohttp.ClientResponse | None = None
         try:
             got = await self._forward.send(
@@ -178,6 +182,7 @@
             if got.is_err():
                 return attempt.Attempt(failure=got.unwrap_err())
             response = got.unwrap()
+            item.progress.head_s = self._clock()
             streamed = answer.Answer(response)
             await streamed.stream(item, self.draining)
             return attempt.Attempt(answered=streamed)
@@ -216,15 +221,17 @@
             outcome = slot_outcome.SlotOutcome.OK
         self._slots.release(taken, outcome)
         name = item.admission.service.name
-        self._moves.observe(
-            sample.Sample(
-                route=item.admission.route.prefix,
-                version=version,
-                failed=failed,
-                latency_s=now_s - started_s,
-                busy=taken.is_busy,
+        if failed or taken.region == self._region:
+            # The way to another region would make a version look slow.
+            self._moves.observe(
+                sample.Sample(
+                    route=item.admission.route.prefix,
+                    version=version,
+                    failed=failed,
+                    latency_s=(item.progress.head_s or now_s) - started_s,
+                    busy=taken.is_busy,
+                )
             )
-        )
         if ended.answered is not None:
             self._metrics.observe(name, status, now_s - item.started_s)
 
--- /dev/null
+++ b/tests/daemon/test_config_distribution.py
@@ -0,0 +1,105 @@
+"""Guards against configurations that revert, get lost or look fresh."""
+
+import random
+
+from support import fake_link
+from support import fake_store
+from support import virtual_clock
+
+from bramleyworks.daemon import config_task
+from bramleyworks.daemon import identity
+from bramleyworks.document import codec
+from bramleyworks.document import document
+from bramleyworks.document import region
+from bramleyworks.document import stored_config
+from bramleyworks.policy import fleet_view
+from bramleyworks.policy import member_table
+
+
+class World:
+    """Two daemons, of which only the first reaches the store."""
+
+    def __init__(self):
+        self.clock = virtual_clock.VirtualClock()
+        self.store = fake_store.FakeStore(self.clock)
+        self.network = fake_link.FakeNetwork()
+        self.tasks = {name: self.task(name) for name in ("a", "b")}
+        for name, task in self.tasks.items():
+            task._neighbours = frozenset(self.tasks) - {name}
+
+    def task(self, name):
+        me = identity.Identity(name, "i", "sudo", "d1", "h", "p")
+        return config_task.ConfigTask(
+            me,
+            self.network.link(name),
+            self.store,
+            member_table.MemberTable(name),
+            self.clock,
+            random.Random(1),
+        )
+
+    async def write(self, version, names):
+        doc = document.Document(
+            regions=tuple(region.Region(n, ("d1",)) for n in names)
+        )
+        stored = stored_config.StoredConfig(
+            version, f"id{version}", "me", 0, doc
+        )
+        await self.put(codec.encode_stored(stored))
+        return stored
+
+    async def put(self, value):
+        entry = await self.store.get(stored_config.CONFIG_KEY)
+        await self.store.put(
+            stored_config.CONFIG_KEY, value, entry.revision if entry else 0
+        )
+
+    async def read(self):
+        await self.tasks["a"]._watch_once()
+        self.network.deliver_all()
+
+
+async def test_whole_and_delta_reach_a_peer_without_the_store():
+    world = World()
+    for version, names in enumerate((["x"], ["x", "y"], ["y"]), start=1):
+        stored = await world.write(version, names)
+        await world.read()
+        assert world.tasks["b"].current == stored
+
+
+async def test_an_older_version_is_never_taken():
+    world = World()
+    first = await world.write(1, ["x"])
+    await world.read()
+    second = await world.write(2, ["y"])
+    await world.read()
+    for task in world.tasks.values():
+        assert not task.offer(first, codec.encode_stored(first))
+        assert task.current == second
+
+
+async def test_delta_that_does_not_apply_is_replaced_by_the_whole():
+    world = World()
+    await world.write(1, ["x"])
+    await world.read()
+    other = stored_config.StoredConfig(1, "other", "me", 0, document.Document())
+    world.tasks["b"].current = other
+    stored = await world.write(2, ["x", "y"])
+    await world.read()
+    assert world.tasks["b"].current == stored
+
+
+async def test_unreadable_value_confirms_nothing():
+    """A newer configuration may be in it, with a key withdrawn."""
+    world = World()
+    task = world.tasks["a"]
+    task.on_fleet(fleet_view.FleetView("a", {}, frozenset({"a", "b", "c"})))
+    await world.write(1, ["x"])
+    await world.read()
+    assert task.is_fresh_now()
+    await world.put(b"not a configuration")
+    world.clock.advance(4.0)
+    await world.read()
+    await world.read()
+    assert not task.is_fresh_now()
+    assert task.version == 1
