--- a/src/bramleyworks/policy/shift.py
+++ b/src/bramleyworks/policy/shift.py
@@ -13,6 +13,9 @@
 # step lasts.
 RAMP_STEPS = (0.1, 0.25, 0.5, 0.75)
 RAMP_STEP_S = 2.0
+# Part of a step's shifts that may come at once; a burst of a fixed second let
+# 14 in place of 10 through in the first step of 2 s.
+RAMP_BURST_PART = 0.2
 WAIT_WEIGHT = 0.1
 WAIT_VALID_S = 2.0
 # Header bytes that go with each request over the link.
@@ -97,7 +100,8 @@
         return state, True
     rate = usable * cap_per_s
     gap_s = min(max(now_s - state.filled_s, 0.0), QUIET_S)
-    tokens = min(state.tokens + rate * gap_s, max(1.0, rate))
+    burst = max(1.0, rate * RAMP_STEP_S * RAMP_BURST_PART)
+    tokens = min(state.tokens + rate * gap_s, burst)
     state = shift_ramp.ShiftRamp(state.began_s, state.last_s, tokens, now_s)
     return state, tokens >= 1.0
 
