Keep each object on one upstream, and move objects between regions whole

Change: a region is chosen by object in the planned shares, one upstream holds it there, others take it only while mostly idle; a new version gets whole objects and its share rises steadily; a silent upstream is asked for another connection before a request is taken back from it.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -33,8 +33,8 @@
 # Answers to idempotent requests up to this size are read to their end before
 # the caller sees any of it, so that a broken one can be asked for again.
 WHOLE_ANSWER_BYTES = 256 * 1024
-# Multiple of the expected latency after which an upstream that has been
-# silent on all its connections counts as lost.
+# Multiple of the expected latency after which an upstream that has answered
+# nobody meanwhile is asked for another connection.
 SILENCE_FACTOR = 5.0
 SILENCE_MIN_S = 0.6
 # Time of a request that is kept for sending the response.
@@ -146,7 +146,7 @@
 class Trace:
     """What is logged about a request when it ends."""
 
-    tried: list[str] = dataclasses.field(default_factory=list)
+    tried: list[dict] = dataclasses.field(default_factory=list)
     status: int = 0
     reason: str = ""
 
@@ -352,11 +352,22 @@
             ):
                 break
             tried.add(upstream.instance.id)
+            load = upstream.load()
+            began_s = self._clock()
             last = await self._attempt(
                 req, res, plan, upstream, choice, body, trace
             )
             trace.tried.append(
-                f"{upstream.instance.id} {last.verdict.value} {last.reason}"
+                {
+                    "upstream": upstream.instance.id,
+                    "outcome": last.verdict.value,
+                    "reason": last.reason,
+                    "load": round(load, 1),
+                    "held": choice.is_warm,
+                    "expected_ms": round(choice.expected_s * 1000),
+                    "wait_ms": round(choice.wait_s * 1000),
+                    "ms": round((self._clock() - began_s) * 1000),
+                }
             )
             if last.verdict is Verdict.ANSWERED:
                 return
@@ -410,7 +421,9 @@
         registry = self._world.registry
         versions = self._world.versions(plan.service)
         base = registry.base_version(plan.service)
-        wanted = self._world.moves.choose(plan.service, plan.route.name, base)
+        wanted = self._world.moves.choose(
+            plan.service, plan.route.name, plan.object_key, base
+        )
         usable = [
             u
             for u in registry.usable(plan.service, versions)
@@ -436,7 +449,9 @@
             region = registry.region_of(upstream)
             by_region.setdefault(region, []).append(upstream)
         best = placement.NOWHERE
-        first = self._traffic.next_region(plan.service, set(by_region))
+        first = self._traffic.next_region(
+            plan.service, plan.object_key, set(by_region)
+        )
         order = sorted(
             by_region, key=lambda name: (name != first, registry.rtt_s(name))
         )
@@ -598,7 +613,7 @@
                     await answer.wait_head()
                 return
             except TimeoutError:
-                if upstream.heard_s > sent_s:
+                if upstream.heard_s > sent_s or await upstream.is_reachable():
                     continue
                 raise errors.UpstreamError(
                     "upstream.silence",
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -38,6 +38,8 @@
 
 # Time between two looks at demand, shares and moves.
 TICK_S = 0.2
+# Time between two lines of the log that tell what the VM believes.
+REPORT_S = 2.0
 # Time for which callers may keep a look-up; a VM that stops serves this long.
 LOOKUP_TTL_S = 2.0
 # Parts of the time to stop: callers learn of it first, then connections end.
@@ -182,6 +184,7 @@
             self._peers.run(),
             self._front.run(),
             self._tick_forever(),
+            self._report_forever(),
             self._flush_forever(),
         ):
             task = asyncio.create_task(work)
@@ -284,6 +287,36 @@
         self._world.moves.merge([b.moves for b in beats])
         self._record_moves(beats)
 
+    async def _report_forever(self) -> None:
+        """Logs what the VM believes, so that its decisions can be explained."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            registry = self._world.registry
+            self._log.write(
+                "state",
+                running=self._exchanges.running,
+                peers=len(self._peers.live()),
+                revision=self._mirror.revision,
+                config=self._world.intent.version if self._world.intent else 0,
+                store_away=self._sync.is_away,
+                work_ms=self._traffic.work_ms(),
+                demand=self._traffic.demand(),
+                shares={
+                    name: self._traffic.shares(name)
+                    for name in self._traffic.demand()
+                },
+                upstreams={
+                    u.instance.id: [
+                        round(u.load(), 1),
+                        round(u.slowness, 2),
+                        u.in_flight,
+                        int(u.is_out),
+                        int(u.is_cold),
+                    ]
+                    for u in registry.all()
+                },
+            )
+
     def _regional(
         self, service: str, beats: list[beat_module.Beat]
     ) -> dict[str, float]:
--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -10,8 +10,11 @@
 from bramleyworks.gateway import rollout_order
 from bramleyworks.gateway import rollout_state
 from bramleyworks.policy import canary_verdict
+from bramleyworks.policy import rendezvous
 from bramleyworks.policy import weighted_turn
 
+# Excess over its share that a version may get because of popular objects.
+SHARE_OVER = 1.3
 # Latency, as a multiple of the usual, from which an answer counts as bad. A
 # cold upstream takes twice the usual and a short queue adds half of that.
 SLOW_FACTOR = 4.0
@@ -26,6 +29,7 @@
         self.is_cut = False
         self.counts: dict[str, canary_verdict.Counts] = {}
         self.turns: dict[str, weighted_turn.WeightedTurn] = {}
+        self.chosen: dict[str, list[int]] = {}
 
 
 class Moves:
@@ -106,8 +110,20 @@
             return state.to_version
         return None
 
-    def choose(self, service: str, route: str, base: str | None) -> str | None:
-        """Returns the version for one request, None if any will do."""
+    def choose(
+        self, service: str, route: str, object_key: str, base: str | None
+    ) -> str | None:
+        """Returns the version for one request, None if any will do.
+
+        Requests about one object stay together, so that the upstreams of
+        either version hold what they are asked for.
+
+        Args:
+            service: Service of the request.
+            route: Name of its route.
+            object_key: Object of the request, empty for none.
+            base: Version in place before the move.
+        """
         move = self._moves.get(service)
         if (
             move is None
@@ -116,10 +132,30 @@
         ):
             return None
         share = self._share(service, move)
+        if object_key:
+            return self._version_of(move, route, object_key, share, base)
         turn = move.turns.setdefault(route, weighted_turn.WeightedTurn())
         weights = {move.order.to_version: share, base or "": 1.0 - share}
         return turn.next(weights)
 
+    def _version_of(
+        self,
+        move: _Move,
+        route: str,
+        object_key: str,
+        share: float,
+        base: str | None,
+    ) -> str | None:
+        counts = move.chosen.setdefault(route, [0, 0])
+        counts[0] += 1
+        wanted = rendezvous.fraction(object_key, move.order.to_version) < share
+        if wanted and (
+            share >= 1.0 or counts[1] <= SHARE_OVER * share * counts[0]
+        ):
+            counts[1] += 1
+            return move.order.to_version
+        return base
+
     def observe(
         self, service: str, version: str, route: str, is_bad: bool
     ) -> None:
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -12,9 +12,9 @@
 from bramleyworks.policy import placement
 from bramleyworks.policy import rendezvous
 
-# Upstreams of a region that are taken to hold an object. Two let a popular
-# object's requests avoid a queue without spreading it over all caches.
-HOLDERS = 2
+# Upstreams of a region that are taken to hold an object. More copies push
+# other objects out of caches whose size is unknown.
+HOLDERS = 1
 # Round trips to assume before the first connection has measured them.
 SAME_REGION_RTT_S = 0.002
 OTHER_REGION_RTT_S = 0.07
--- a/src/bramleyworks/gateway/traffic.py
+++ b/src/bramleyworks/gateway/traffic.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from bramleyworks.policy import region_plan
+from bramleyworks.policy import rendezvous
 from bramleyworks.policy import weighted_turn
 
 # Time constant of the measured demand.
@@ -98,6 +99,15 @@
         mean = self._mean_work_s.get((route, service), known)
         self._mean_work_s[route, service] = mean + WORK_WEIGHT * (took_s - mean)
 
+    def work_ms(self) -> dict[str, int]:
+        """Returns the learned work by route, service and kind, for logs."""
+        return {
+            f"{route} {service} {'held' if is_warm else 'other'}": round(
+                1000 * work_s
+            )
+            for (route, service, is_warm), work_s in self._work_s.items()
+        }
+
     def note_request(
         self, route: str, service: str, objective_s: float
     ) -> None:
@@ -173,16 +183,27 @@
         """Returns the parts of the requests that go to each region."""
         return dict(self._service(service).shares)
 
-    def next_region(self, service: str, allowed: set[str]) -> str | None:
-        """Returns the region whose turn it is.
+    def next_region(
+        self, service: str, object_key: str, allowed: set[str]
+    ) -> str | None:
+        """Returns the region for a request.
+
+        Requests about one object go to the same region, since an upstream
+        there holds it; a change of the shares moves as few objects as it can.
 
         Args:
             service: Service of the request.
+            object_key: Object of the request, empty for none.
             allowed: Regions that have usable upstreams and may serve it.
         """
         state = self._service(service)
         if not state.shares:
             state.shares = {self._region: 1.0}
+        if object_key:
+            return rendezvous.pick(
+                object_key,
+                {n: s for n, s in state.shares.items() if n in allowed},
+            )
         return state.turn.next(state.shares, allowed)
 
     def _service(self, name: str) -> _Service:
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -225,6 +225,9 @@
                 self._conns.append(conn)
                 break
             conn.abort()
+        return await self._open()
+
+    async def _open(self) -> upstream_conn.UpstreamConn:
         loop = asyncio.get_running_loop()
         name = self.instance.id
         try:
@@ -243,6 +246,16 @@
             ) from exc
         return conn
 
+    async def is_reachable(self) -> bool:
+        """Returns whether it still accepts connections."""
+        try:
+            conn = await self._open()
+        except errors.UpstreamError:
+            return False
+        self.heard_s = self._clock()
+        self.give_back(conn)
+        return True
+
     def give_back(self, conn: upstream_conn.UpstreamConn) -> None:
         """Keeps a connection for another request, or closes it."""
         if conn.is_usable and not self.instance.is_draining:
--- a/src/bramleyworks/policy/canary_verdict.py
+++ b/src/bramleyworks/policy/canary_verdict.py
@@ -7,11 +7,14 @@
 
 import dataclasses
 
-# Shares of the requests that go to the new version, and the part of the time
-# to the deadline at which each begins. Nearly half of the time is spent at a
-# share below the tenth that a bad version may get.
-SHARES = (0.06, 0.25, 0.5, 1.0)
-SHARE_AT = (0.0, 0.45, 0.53, 0.61)
+# Share of the requests that shows faults at first, below the tenth that a bad
+# version may get.
+FIRST_SHARE = 0.06
+# Parts of the time to the deadline at which the share begins to rise and at
+# which it has reached all requests. It rises steadily, since every object that
+# moves has to be fetched by an upstream that does not hold it.
+RISE_AT = 0.4
+ALL_AT = 0.75
 # An upstream runs at most a handful of requests at once, so this many bad
 # answers can not come from the end of a single one.
 MIN_BAD = 8
@@ -36,11 +39,10 @@
 def share(elapsed_s: float, over_s: float) -> float:
     """Returns the share of requests that the new version gets by schedule."""
     part = elapsed_s / max(over_s, 1e-3)
-    current = 0.0
-    for at, value in zip(SHARE_AT, SHARES, strict=True):
-        if part >= at:
-            current = value
-    return current
+    if part >= ALL_AT:
+        return 1.0
+    risen = max(0.0, part - RISE_AT) / (ALL_AT - RISE_AT)
+    return FIRST_SHARE + (1.0 - FIRST_SHARE) * risen
 
 
 def add(one: Counts, other: Counts) -> Counts:
--- a/src/bramleyworks/policy/placement.py
+++ b/src/bramleyworks/policy/placement.py
@@ -9,6 +9,10 @@
 import dataclasses
 from collections.abc import Iterable
 
+# Part of its slots up to which an upstream may take requests about objects
+# that it does not hold. They cost several times the work and push out objects
+# that it does hold, so a busy one must not get them.
+SPILL_USE = 0.6
 # Wait that a request may have, as a part of its work, when its objective can
 # not be met anyway; keeps slots busy without building a queue.
 LATE_WAIT = 0.3
@@ -86,6 +90,11 @@
     """
     best: tuple[float, float, float, Candidate] | None = None
     for candidate in candidates:
+        if (
+            not candidate.is_warm
+            and candidate.load + 1 > SPILL_USE * candidate.slots
+        ):
+            continue
         work_s = candidate.slowness * (
             demand.warm_work_s if candidate.is_warm else demand.cold_work_s
         )
--- a/src/bramleyworks/policy/rendezvous.py
+++ b/src/bramleyworks/policy/rendezvous.py
@@ -1,7 +1,11 @@
 """Rendezvous hashing."""
 
 import hashlib
+import math
 from collections.abc import Iterable
+from collections.abc import Mapping
+
+_BITS = 64
 
 
 def weight(key: str, node: str) -> int:
@@ -16,3 +20,25 @@
     Removing a node moves only the keys that it came first for.
     """
     return sorted(nodes, key=lambda node: weight(key, node), reverse=True)
+
+
+def fraction(key: str, salt: str) -> float:
+    """Returns a number between 0 and 1 that is fixed for a key."""
+    return (weight(key, salt) + 0.5) / 2**_BITS
+
+
+def pick(key: str, shares: Mapping[str, float]) -> str | None:
+    """Returns the node of a key when nodes get keys in given shares.
+
+    A change of the shares moves only as many keys as the shares change by
+    (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005).
+    """
+    best = None
+    best_score = math.inf
+    for node, share in shares.items():
+        if share <= 0.0:
+            continue
+        score = -math.log(fraction(key, node)) / share
+        if score < best_score:
+            best, best_score = node, score
+    return best
