Move objects to upstreams that have joined; log refusals with their route

Ruled out: the limit of cold upstreams (their tokens were not used). Change: an upstream that an object does not belong to has to be better by half of the work that holding it saves. Lines of refused requests name route, service and organisation.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -144,8 +144,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Trace:
-    """What is logged about a request when it ends."""
+    """What is logged about a request when it ends.
 
+    Attributes:
+        route: Name of its route.
+        service: Service that it goes to.
+        organisation: Name of its organisation.
+        object_key: Object that it is about.
+        tried: What was expected of each attempt and how it ended.
+        status: Status of the response, 0 if there was none.
+        reason: Why the response is not an upstream's success.
+    """
+
+    route: str = "-"
+    service: str = "-"
+    organisation: str = "-"
+    object_key: str = ""
     tried: list[dict] = dataclasses.field(default_factory=list)
     status: int = 0
     reason: str = ""
@@ -202,10 +216,9 @@
         self, req: request_module.Request, res: response_module.Response
     ) -> None:
         trace = Trace()
-        plan = None
         self.running += 1
         try:
-            plan = self._admit(req)
+            plan = self._admit(req, trace)
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time()
                 + plan.deadline_s
@@ -228,11 +241,11 @@
             raise
         finally:
             self.running -= 1
-            self._report(req, plan, trace)
+            self._report(req, trace)
 
     # Admission.
 
-    def _admit(self, req: request_module.Request) -> Plan:
+    def _admit(self, req: request_module.Request, trace: Trace) -> Plan:
         """Finds what a request is and whether it may run.
 
         Raises:
@@ -247,12 +260,14 @@
         route = intent_module.find_route(intent, host, path)
         if route is None:
             raise Refused(404, "no route matches")
+        trace.route = route.name
         organisation = self._organisation(req, intent, route)
         now_s = self._clock()
         client_s = self._client_deadline_s(req, route)
         regions = route.regions
         priority = route.priority
         if organisation is not None:
+            trace.organisation = organisation.name
             if organisation.regions:
                 regions = (
                     regions & organisation.regions
@@ -284,6 +299,8 @@
             regions=regions,
             priority=priority,
         )
+        trace.service = plan.service
+        trace.object_key = plan.object_key
         if plan.deadline_s <= now_s:
             raise Refused(503, "no time is left")
         return plan
@@ -810,25 +827,17 @@
         """Ends a request whose time is over while an attempt ran."""
         self._refuse(req, res, Refused(504, "the time is over"), trace)
 
-    def _report(
-        self,
-        req: request_module.Request,
-        plan: Plan | None,
-        trace: Trace,
-    ) -> None:
+    def _report(self, req: request_module.Request, trace: Trace) -> None:
         took_s = self._clock() - req.received_s
-        route = plan.route.name if plan else "-"
-        self._observe(route, trace.status, took_s)
+        self._observe(trace.route, trace.status, took_s)
         intent = self._world.intent
         self._log.write(
             "request",
             id=(req.get(header_names.REQUEST_ID) or b"-").decode("latin-1"),
-            route=route,
-            service=plan.service if plan else "-",
-            object=plan.object_key if plan else "",
-            organisation=(
-                plan.organisation.name if plan and plan.organisation else "-"
-            ),
+            route=trace.route,
+            service=trace.service,
+            object=trace.object_key,
+            organisation=trace.organisation,
             config=intent.version if intent else 0,
             status=trace.status,
             reason=trace.reason,
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -199,6 +199,7 @@
                     is_warm=not object_key
                     or u.instance.id in holders
                     or u.holds(object_key),
+                    is_home=not object_key or u.instance.id in holders,
                 )
                 for u in candidates
             ],
--- a/src/bramleyworks/policy/placement.py
+++ b/src/bramleyworks/policy/placement.py
@@ -13,6 +13,10 @@
 # that it does not hold. They cost several times the work and push out objects
 # that it does hold, so a busy one must not get them.
 SPILL_USE = 0.6
+# Part of the work that a held object saves by which an upstream has to be
+# better than the one that the object belongs to. Without it, objects would
+# never move to upstreams that have just joined.
+AWAY_COST = 0.5
 # Wait that a request may have, as a part of its work, when its objective can
 # not be met anyway; keeps slots busy without building a queue.
 LATE_WAIT = 0.3
@@ -29,6 +33,7 @@
         rtt_s: Network round trip to it.
         slowness: Its latency relative to other upstreams of the service.
         is_warm: Whether it is likely to hold the request's object.
+        is_home: Whether the object belongs there by hash.
     """
 
     id: str
@@ -37,6 +42,7 @@
     rtt_s: float
     slowness: float
     is_warm: bool
+    is_home: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +95,8 @@
     would have to queue for longer than its patience.
     """
     best: tuple[float, float, float, Candidate] | None = None
+    best_key = 0.0
+    away_s = AWAY_COST * (demand.cold_work_s - demand.warm_work_s)
     for candidate in candidates:
         if (
             not candidate.is_warm
@@ -105,8 +113,10 @@
             candidate.slowness * demand.warm_work_s,
         )
         total_s = candidate.rtt_s + wait_s + work_s
-        if best is None or total_s < best[0]:
+        key = total_s if candidate.is_home else total_s + away_s
+        if best is None or key < best_key:
             best = (total_s, wait_s, work_s, candidate)
+            best_key = key
     if best is None:
         return NOWHERE
     total_s, wait_s, work_s, candidate = best
