Prove the request path and the life of a gateway over real processes

The new ones failed first for a configuration without routes, which replaced the last good one; for the withdrawn registration of a stopping VM, which its own renewal wrote again; and for a removal just after the start, which was held back as if the store had been away.

--- a/src/bramleyworks/gateway/registration.py
+++ b/src/bramleyworks/gateway/registration.py
@@ -26,10 +26,11 @@
         self._store = store
         self._own = own
         self._lease = 0
+        self._is_withdrawn = False
 
     async def run(self) -> None:
-        """Registers and renews until cancelled."""
-        while True:
+        """Registers and renews until it is withdrawn."""
+        while not self._is_withdrawn:
             try:
                 if not self._lease:
                     lease = await self._store.grant_lease(LEASE_S)
@@ -52,6 +53,7 @@
 
     async def withdraw(self) -> None:
         """Ends the registration, so that nobody is sent here any more."""
+        self._is_withdrawn = True
         if not self._lease:
             return
         try:
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -103,7 +103,8 @@
         now_s = self._clock()
         if self.is_away:
             self.is_away = False
-            self._returned_s = now_s
+            if self.has_state:
+                self._returned_s = now_s
             self._log.write("store.regained", revision=self._mirror.revision)
         self._answered_s = now_s
 
--- a/src/bramleyworks/platform/wire_config.py
+++ b/src/bramleyworks/platform/wire_config.py
@@ -54,12 +54,12 @@
         organisations[found.name] = found
         holders.update(dict.fromkeys(found.keys, found.name))
     routes: dict[str, dict[str, route.Route]] = {}
-    for listener in body.get("listeners") or ():
+    for listener in body["listeners"]:
         host = listener["host"].lower()
         for rule in listener["rules"]:
             found = _route(host, rule)
             routes.setdefault(host, {})[found.prefix] = found
-    services = {i["name"]: _service(i) for i in body.get("clusters") or ()}
+    services = {i["name"]: _service(i) for i in body["clusters"]}
     return intent.Intent(
         version=version_number(body["version"]),
         limits=_limits(body.get("limits") or {}),
--- /dev/null
+++ b/src/bramleyworks_standins/kv_store.py
@@ -0,0 +1,190 @@
+"""Stand-in for the platform's store: ``python -m ... HOST:PORT``.
+
+Beside the published calls it has ``POST /operator`` for what the operators and
+the upstreams write, and ``POST /faults`` that makes it misbehave.
+"""
+
+import asyncio
+import dataclasses
+import sys
+
+import uvicorn
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from bramleyworks_standins import kv_data
+
+PAGE_ITEMS = 500
+POLL_S = 0.01
+SILENCE_S = 30.0
+
+
+class KvApp:
+    """Answers the calls of the published interface."""
+
+    def __init__(self):
+        self.data = kv_data.KvData()
+        self.calls = 0
+        # Callers' addresses that a fault applies to, and its kind; the
+        # address "*" stands for all.
+        self.faults: dict[str, str] = {}
+
+    def app(self) -> applications.Starlette:
+        """Returns the application."""
+        route = routing.Route
+        return applications.Starlette(
+            routes=[
+                route("/v1/kv-key", self._guard(self.key)),
+                route("/v1/kv-range", self._guard(self.range)),
+                route("/v1/kv-watch", self._guard(self.watch)),
+                route("/v1/kv-txn", self._guard(self.txn), methods=["POST"]),
+                route(
+                    "/v1/kv-lease", self._guard(self.lease), methods=["POST"]
+                ),
+                route(
+                    "/v1/kv-keep/{id:int}",
+                    self._guard(self.keep),
+                    methods=["POST"],
+                ),
+                route(
+                    "/v1/kv-lease-end/{id:int}",
+                    self._guard(self.lease_end),
+                    methods=["DELETE"],
+                ),
+                route("/operator", self.operator, methods=["POST"]),
+                route("/faults", self.set_faults, methods=["POST"]),
+                route("/status", self.status),
+            ]
+        )
+
+    def _guard(self, handle):
+        async def guarded(req: requests.Request) -> responses.Response:
+            self.calls += 1
+            self.data.expire()
+            host = req.client.host if req.client else ""
+            fault = self.faults.get(host) or self.faults.get("*")
+            if fault == "busy":
+                return responses.Response(status_code=503)
+            if fault == "many":
+                return responses.Response(status_code=429)
+            if fault == "silent":
+                await asyncio.sleep(SILENCE_S)
+            if fault == "lost" and req.method != "GET":
+                await handle(req)
+                await asyncio.sleep(SILENCE_S)
+            return await handle(req)
+
+        return guarded
+
+    async def key(self, req: requests.Request) -> responses.Response:
+        """Reads one item."""
+        row = self.data.rows.get(req.query_params["key"])
+        if row is None:
+            return responses.Response(status_code=404)
+        body = dataclasses.asdict(row) | {"as_of": self.data.revision}
+        return responses.JSONResponse(body)
+
+    async def range(self, req: requests.Request) -> responses.Response:
+        """Reads a page of items."""
+        prefix = req.query_params.get("prefix", "")
+        after = req.query_params.get("after", "")
+        found = sorted(
+            (r for k, r in self.data.rows.items() if k.startswith(prefix)),
+            key=lambda row: row.key,
+        )
+        found = [row for row in found if row.key > after]
+        page = found[:PAGE_ITEMS]
+        return responses.JSONResponse(
+            {
+                "items": [dataclasses.asdict(row) for row in page],
+                "has_more": len(found) > len(page),
+                "as_of": self.data.revision,
+            }
+        )
+
+    async def watch(self, req: requests.Request) -> responses.Response:
+        """Waits for changes."""
+        query = req.query_params
+        end_s = asyncio.get_running_loop().time() + (
+            int(query.get("wait_ms", "0")) / 1000
+        )
+        while True:
+            self.data.expire()
+            events = self.data.since(query["prefix"], int(query["after"]))
+            if events is None:
+                return responses.Response(status_code=410)
+            if events or asyncio.get_running_loop().time() >= end_s:
+                return responses.JSONResponse(
+                    {"events": events, "as_of": self.data.revision}
+                )
+            await asyncio.sleep(POLL_S)
+
+    async def txn(self, req: requests.Request) -> responses.Response:
+        """Changes items under conditions."""
+        body = await req.json()
+        keys = [item["key"] for item in body.get("puts") or []]
+        keys += body.get("remove") or []
+        if any(key.startswith(("op/", "servers/")) for key in keys):
+            return responses.Response(status_code=403)
+        status, answer = self.data.txn(body)
+        return responses.JSONResponse(answer, status_code=status)
+
+    async def lease(self, req: requests.Request) -> responses.Response:
+        """Grants a lease."""
+        ttl_ms = (await req.json())["ttl_ms"]
+        granted = self.data.grant(ttl_ms / 1000)
+        return responses.JSONResponse({"lease_id": granted, "ttl_ms": ttl_ms})
+
+    async def keep(self, req: requests.Request) -> responses.Response:
+        """Renews a lease."""
+        if not self.data.renew(req.path_params["id"]):
+            return responses.Response(status_code=404)
+        return responses.JSONResponse({})
+
+    async def lease_end(self, req: requests.Request) -> responses.Response:
+        """Ends a lease."""
+        self.data.end(req.path_params["id"])
+        return responses.JSONResponse({})
+
+    async def operator(self, req: requests.Request) -> responses.Response:
+        """Writes and removes items that the system itself may not."""
+        body = await req.json()
+        for key, value in (body.get("puts") or {}).items():
+            self.data.put(key, value)
+        for key in body.get("remove") or []:
+            self.data.remove(key)
+        return responses.JSONResponse({"rev": self.data.revision})
+
+    async def set_faults(self, req: requests.Request) -> responses.Response:
+        """Replaces the faults; ``compact`` drops the history."""
+        body = await req.json()
+        self.faults = body.get("faults") or {}
+        if body.get("compact"):
+            self.data.compact()
+        return responses.JSONResponse({})
+
+    async def status(self, req: requests.Request) -> responses.Response:
+        """Tells items and calls to tests."""
+        del req
+        rows = {k: r.value for k, r in self.data.rows.items()}
+        return responses.JSONResponse(
+            {"rows": rows, "calls": self.calls, "rev": self.data.revision}
+        )
+
+
+def main() -> None:
+    """Serves until it is ended."""
+    host, _, port = sys.argv[1].rpartition(":")
+    uvicorn.run(
+        KvApp().app(),
+        host=host,
+        port=int(port),
+        log_level="warning",
+        timeout_graceful_shutdown=1,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyworks_standins/slot_server.py
@@ -0,0 +1,200 @@
+"""Stand-in for an upstream of the platform.
+
+``python -m ... HOST:PORT ID SLOTS WORK_MS``. ``POST /faults`` makes it
+misbehave, ``GET /status`` tells what it ran. Both answer at once, without a
+slot.
+"""
+
+import asyncio
+import hashlib
+import json
+import sys
+
+QUEUE_FACTOR = 3
+ID = "x-bramleyworks-attempt-id"
+SEAL = "X-Bramleyworks-Response-Seal"
+
+
+class SlotServer:
+    """Runs as many requests at once as it has slots and queues a few more."""
+
+    def __init__(self, identity: str, slots: int, work_s: float):
+        self.identity = identity
+        self.slots = slots
+        self.work_s = work_s
+        self.runs: list[dict] = []
+        self.cancelled = 0
+        self.fault = ""
+        self.held: dict[str, int] = {}
+        self._free = asyncio.Semaphore(slots)
+        self._running = 0
+        self._waiting = 0
+
+    async def serve(self, reader, writer) -> None:
+        """Serves one connection."""
+        try:
+            while True:
+                req = await self._read(reader)
+                if req is None:
+                    break
+                if not await self._respond(req, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _read(self, reader):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        first, *lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = first.split(" ", 2)
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        body = b""
+        if "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
+        elif headers.get("transfer-encoding") == "chunked":
+            while size := int((await reader.readline()).strip(), 16):
+                body += await reader.readexactly(size)
+                await reader.readline()
+            await reader.readline()
+        return {
+            "method": method,
+            "target": target,
+            "headers": headers,
+            "body": body.decode("latin-1"),
+        }
+
+    async def _respond(self, req, reader, writer) -> bool:
+        if req["target"] == "/faults":
+            self.fault = req["body"]
+            return await self._send(writer, 200, {}, b"")
+        if req["target"] == "/status":
+            body = json.dumps(
+                {"runs": self.runs, "cancelled": self.cancelled}
+            ).encode()
+            return await self._send(writer, 200, {}, body)
+        headers = req["headers"]
+        wanted = headers.get("x-bramleyworks-target-instance")
+        if wanted not in (None, self.identity):
+            return await self._send(
+                writer, 421, {"X-Bramleyworks-Instance-Id": self.identity}, b""
+            )
+        if self.fault == "silent":
+            await asyncio.sleep(60)
+        full = self._waiting >= QUEUE_FACTOR * self.slots
+        if self.fault == "shed" or full:
+            return await self._send(
+                writer, 503, self._load() | {"X-Bramleyworks-Not-Run": "1"}, b""
+            )
+        if self.fault == "reset":
+            return False
+        closed = asyncio.ensure_future(reader.read(1))
+        work = asyncio.ensure_future(self._work(req))
+        await asyncio.wait({closed, work}, return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            work.cancel()
+            self.cancelled += 1
+            return False
+        closed.cancel()
+        try:
+            await closed
+        except asyncio.CancelledError:
+            pass
+        return await self._answer(req, writer)
+
+    async def _work(self, req) -> None:
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            self.runs.append(
+                {
+                    "id": req["headers"].get(ID),
+                    "target": req["target"],
+                    "method": req["method"],
+                    "body": req["body"],
+                    "headers": req["headers"],
+                }
+            )
+            slow = 8 if self.fault == "slow" else 1
+            await asyncio.sleep(slow * self.work_s)
+        finally:
+            self._running -= 1
+            self._free.release()
+
+    async def _answer(self, req, writer) -> bool:
+        body = f"{self.identity} {req['target']} {req['body']}".encode()
+        status = 200
+        if self.fault == "error":
+            status = 500
+        headers = self._load() | {
+            "X-Bramleyworks-Attempt-Id": req["headers"].get(ID, ""),
+            SEAL: hashlib.sha256(body).hexdigest()[:12],
+        }
+        if self.fault == "lost":
+            return False
+        if self.fault == "truncated":
+            writer.write(self._head(status, headers, len(body) + 50) + body)
+            await writer.drain()
+            return False
+        if self.fault == "unframed":
+            writer.write(self._head(status, headers, None) + body)
+            await writer.drain()
+            writer.close()
+            return False
+        if self.fault == "unsigned":
+            del headers[SEAL]
+        keep = await self._send(writer, status, headers, body)
+        if self.fault == "extra":
+            other = headers | {"X-Bramleyworks-Attempt-Id": "foreign"}
+            return await self._send(writer, 200, other, b"extra")
+        if self.fault == "extra_late":
+            other = headers | {"X-Bramleyworks-Attempt-Id": "foreign"}
+            asyncio.get_running_loop().call_later(
+                0.05, writer.write, self._head(200, other, 5) + b"extra"
+            )
+        return keep
+
+    def _load(self) -> dict:
+        told = f"{self._running},{self._waiting},{self.slots}"
+        return {"X-Bramleyworks-Server-Load": told}
+
+    def _head(self, status, headers, length) -> bytes:
+        lines = [f"HTTP/1.1 {status} Status"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    async def _send(self, writer, status, headers, body) -> bool:
+        writer.write(self._head(status, headers, len(body)) + body)
+        await writer.drain()
+        return True
+
+
+async def run(address: str, identity: str, slots: int, work_ms: float):
+    """Serves until it is ended."""
+    host, _, port = address.rpartition(":")
+    server = SlotServer(identity, slots, work_ms / 1000)
+    listening = await asyncio.start_server(server.serve, host, int(port))
+    async with listening:
+        await listening.serve_forever()
+
+
+def main() -> None:
+    """Reads the arguments and serves."""
+    address, identity, slots, work_ms = sys.argv[1:5]
+    asyncio.run(run(address, identity, int(slots), float(work_ms)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/gateway/test_life.py
@@ -0,0 +1,412 @@
+"""Configuration, registrations, moves, restarts and the store's faults."""
+
+import asyncio
+import signal
+
+from support import platform_fleet
+
+
+async def test_configuration_comes_into_force_and_never_goes_back(tmp_path):
+    async with platform_fleet.small(tmp_path, vms=2) as fleet:
+        vm = fleet.vms[0]
+        assert (await fleet.ask(vm, key="key-two"))[0] == 401
+        await fleet.operate(
+            {"op/config": platform_fleet.config(5, keys=["key-two"])}
+        )
+
+        async def in_force():
+            return (await fleet.ask(vm, key="key-two"))[0] == 200
+
+        await fleet.until(in_force, "version 5", 2.0)
+        assert (await fleet.ask(vm))[0] == 401
+        await fleet.operate({"op/config": platform_fleet.config(4)})
+        await asyncio.sleep(1.5)
+        assert (await fleet.ask(vm))[0] == 401
+
+
+async def test_unreadable_configuration_leaves_the_last_good_one(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        await fleet.operate({"op/config": {"version": "r9"}})
+        await fleet.operate({"op/config": {"version": "r9", "listeners": 3}})
+        await asyncio.sleep(1.0)
+        assert (await fleet.ask(fleet.vms[0]))[0] == 200
+
+
+async def test_unreadable_registrations_name_no_upstream(tmp_path):
+    async with platform_fleet.small(tmp_path, upstreams=1) as fleet:
+        await fleet.operate(
+            {
+                "servers/x1": "not a table",
+                "servers/x2": {"service": "desk", "addr": 7},
+                "servers/x3": {
+                    "service": "desk",
+                    "addr": "127.0.0.1:1",
+                    "zone": "one-a",
+                    "version": "v1",
+                    "slots": "many",
+                    "state": "ready",
+                },
+                "servers/x4": {
+                    "service": "desk",
+                    "addr": "127.0.0.1:1",
+                    "zone": "one-a",
+                    "version": "v1",
+                    "slots": 4,
+                    "state": "dreaming",
+                },
+            }
+        )
+        await fleet.knows_upstreams(fleet.vms[0], 1)
+        for _ in range(5):
+            assert (await fleet.ask(fleet.vms[0]))[0] == 200
+
+
+async def test_draining_upstream_gets_no_new_request(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        await fleet.register("u1", state="draining")
+        await asyncio.sleep(1.0)
+        for number in range(10):
+            got = await fleet.ask(
+                fleet.vms[0],
+                headers={"X-Bramleyworks-Affinity-Key": str(number)},
+            )
+            assert got[0] == 200
+        assert {r["upstream"] for r in await fleet.runs()} == {"u2"}
+
+
+async def test_reused_address_runs_nothing_for_the_old_identity(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        address = fleet.upstreams["u1"][0]
+        await fleet.operate(
+            {
+                "servers/u9": {
+                    "service": "gate",
+                    "addr": address,
+                    "zone": "one-a",
+                    "version": "v1",
+                    "slots": 4,
+                    "state": "ready",
+                    "seq": 1,
+                }
+            }
+        )
+        await asyncio.sleep(1.0)
+        for number in range(10):
+            await fleet.ask(
+                fleet.vms[0],
+                headers={"X-Bramleyworks-Affinity-Key": str(number)},
+            )
+        assert {r["upstream"] for r in await fleet.runs()} == {"u2"}
+
+
+async def test_evacuated_domain_gets_nothing_until_it_is_taken_back(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.operate({"op/config": platform_fleet.config(1)})
+        await fleet.add_upstream("u1", domain="one-a")
+        await fleet.add_upstream("u2", domain="two-a")
+        vm = await fleet.add_vm()
+        await fleet.operate({"op/evacuate/one-a": {}})
+        await asyncio.sleep(1.0)
+        for _ in range(5):
+            assert (await fleet.ask(vm))[0] == 200
+        assert {r["upstream"] for r in await fleet.runs()} == {"u2"}
+        await fleet.operate(remove=["op/evacuate/one-a"])
+
+        async def back():
+            await fleet.ask(vm)
+            return "u1" in {r["upstream"] for r in await fleet.runs()}
+
+        await fleet.until(back, "requests in the domain")
+
+
+async def test_homed_request_stays_in_its_region(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        homed = platform_fleet.rule(
+            "homed", "safe", "/homed/", "desk", home_regions=["two"]
+        )
+        await fleet.operate(
+            {"op/config": platform_fleet.config(1, rules=[homed])}
+        )
+        await fleet.add_upstream("u1", domain="one-a")
+        await fleet.add_upstream("u2", domain="two-a")
+        vm = await fleet.add_vm()
+        for _ in range(5):
+            assert (await fleet.ask(vm, "/homed/1"))[0] == 200
+        await fleet.operate(remove=["servers/u2"])
+        await asyncio.sleep(1.0)
+        assert (await fleet.ask(vm, "/homed/1"))[0] == 503
+        assert {r["upstream"] for r in await fleet.runs()} == {"u2"}
+
+
+async def test_store_outage_changes_nothing_for_callers(tmp_path):
+    async with platform_fleet.small(tmp_path, vms=2) as fleet:
+        await fleet.store_faults({"*": "silent"})
+        await asyncio.sleep(3.0)
+        for vm in fleet.vms:
+            assert (await fleet.ask(vm))[0] == 200
+            assert (
+                await fleet.http.get(vm.url("ready", "/v1/readyz"))
+            ).status == 200
+
+
+async def test_vm_restarted_in_an_outage_serves_from_a_peer(tmp_path):
+    async with platform_fleet.small(tmp_path, vms=2) as fleet:
+        vm = fleet.vms[0]
+        # The peer needs to have been registered to be found.
+        await asyncio.sleep(1.0)
+        await fleet.store_faults({"*": "busy"})
+        vm.process.kill()
+        await fleet.restart(vm)
+        assert (await fleet.ask(vm))[0] == 200
+
+
+async def test_vm_that_the_store_refuses_follows_its_peers(tmp_path):
+    async with platform_fleet.small(tmp_path, vms=2) as fleet:
+        await asyncio.sleep(1.0)
+        await fleet.store_faults({fleet.vms[0].ip: "busy"})
+        await fleet.operate(
+            {"op/config": platform_fleet.config(7, keys=["key-two"])}
+        )
+
+        async def in_force():
+            return (await fleet.ask(fleet.vms[0], key="key-two"))[0] == 200
+
+        await fleet.until(in_force, "version 7 by way of a peer", 4.0)
+
+
+async def test_lost_history_is_read_anew(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.store_faults({"*": "busy"})
+        await fleet.operate(
+            {"op/config": platform_fleet.config(8, keys=["key-two"])}
+        )
+        await fleet.store_faults({}, compact=True)
+
+        async def in_force():
+            return (await fleet.ask(vm, key="key-two"))[0] == 200
+
+        await fleet.until(in_force, "version 8", 4.0)
+
+
+async def test_registration_that_lapsed_in_an_outage_may_come_back(tmp_path):
+    async with platform_fleet.small(tmp_path, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        await fleet.store_faults({"*": "busy"})
+        await asyncio.sleep(2.5)
+        await fleet.operate(remove=["servers/u1"])
+        await fleet.store_faults({})
+        for _ in range(10):
+            assert (await fleet.ask(vm))[0] == 200
+            await asyncio.sleep(0.1)
+        await fleet.register("u1")
+        await asyncio.sleep(2.0)
+        assert (await fleet.ask(vm))[0] == 200
+        await fleet.operate(remove=["servers/u1"])
+
+        async def gone():
+            return (await fleet.ask(vm))[0] == 503
+
+        await fleet.until(gone, "the removal")
+
+
+async def test_planned_stop_cuts_no_request(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.operate({"op/config": platform_fleet.config(1)})
+        await fleet.add_upstream("u1", slots=8, work_ms=600)
+        vm = await fleet.add_vm()
+        asked = [asyncio.create_task(fleet.ask(vm)) for _ in range(6)]
+        await asyncio.sleep(0.2)
+        vm.process.terminate()
+        await asyncio.sleep(0.2)
+        ready = await fleet.http.get(vm.url("ready", "/v1/readyz"))
+        assert ready.status == 503
+        assert [a[0] for a in await asyncio.gather(*asked)] == [200] * 6
+        assert vm.process.wait(5.0) == 0
+        rows = await fleet.store_rows()
+    assert not [key for key in rows if key.startswith("bw/vm/")]
+
+
+async def test_directory_names_live_vms_of_the_region(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.operate({"op/config": platform_fleet.config(1)})
+        one, two, other = [
+            await fleet.add_vm(region) for region in ("one", "one", "two")
+        ]
+
+        async def named(region):
+            url = one.url(
+                "directory", f"/v1/resolve?name=x&region={region}&zone=z"
+            )
+            async with fleet.http.get(url) as answer:
+                body = await answer.json()
+                return {a.split(":")[0] for a in body["addrs"]}
+
+        async def all_known():
+            return await named("one") == {one.ip, two.ip}
+
+        await fleet.until(all_known, "both VMs of the region")
+
+        async def other_known():
+            return await named("two") == {other.ip}
+
+        await fleet.until(other_known, "the VM of the other region", 2.0)
+        two.process.kill()
+
+        async def one_left():
+            return await named("one") == {one.ip}
+
+        await fleet.until(one_left, "the loss of a VM", 4.0)
+        other.process.kill()
+
+        async def elsewhere():
+            return await named("two") == {one.ip}
+
+        await fleet.until(elsewhere, "a VM of another region", 4.0)
+
+
+async def _press(fleet, seconds, slow_end=None):
+    """Sends requests to all VMs; returns the statuses."""
+    statuses = []
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    number = 0
+    while loop.time() < end_s:
+        number += 1
+        vm = fleet.vms[number % len(fleet.vms)]
+        path = "/stock/1" if number % 3 else "/open/1"
+        key = {"X-Bramleyworks-Affinity-Key": str(number % 40)}
+        statuses.append((await fleet.ask(vm, path, headers=key))[0])
+        if slow_end and await slow_end():
+            break
+    return statuses
+
+
+async def _move_fleet(fleet):
+    await fleet.operate({"op/config": platform_fleet.config(1)})
+    for name in ("u1", "u2"):
+        await fleet.add_upstream(name, work_ms=5)
+    for _ in range(2):
+        await fleet.add_vm()
+    for name in ("n1", "n2"):
+        await fleet.add_upstream(name, work_ms=5, version="v2")
+
+
+async def _state(fleet):
+    rows = await fleet.store_rows()
+    return rows.get("status/rollout/desk", {}).get("state")
+
+
+async def test_good_version_takes_over_by_its_deadline(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await _move_fleet(fleet)
+        await _press(fleet, 1.0)
+        before = {r["upstream"] for r in await fleet.runs()}
+        await fleet.operate(
+            {
+                "op/rollout/desk": {
+                    "service": "desk",
+                    "to_version": "v2",
+                    "over_s": 6,
+                }
+            }
+        )
+
+        async def done():
+            return await _state(fleet) == "done"
+
+        statuses = await _press(fleet, 6.0, done)
+        assert await done()
+        count = len(await fleet.runs())
+        await _press(fleet, 0.5)
+        after = {r["upstream"] for r in (await fleet.runs())[count:]}
+        old = [r for r in await fleet.runs() if r["upstream"] in ("u1", "u2")]
+        await _press(fleet, 0.5)
+        old_later = [
+            r for r in await fleet.runs() if r["upstream"] in ("u1", "u2")
+        ]
+    assert before == {"u1", "u2"}
+    assert set(statuses) == {200}
+    assert after
+    assert len(old) == len(old_later)
+
+
+async def test_bad_version_is_taken_back_and_gets_a_small_share(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await _move_fleet(fleet)
+        for name in ("n1", "n2"):
+            await fleet.upstream_fault(name, "error")
+        await fleet.operate(
+            {
+                "op/rollout/desk": {
+                    "service": "desk",
+                    "to_version": "v2",
+                    "over_s": 10,
+                }
+            }
+        )
+
+        async def reverted():
+            return await _state(fleet) == "reverted"
+
+        await _press(fleet, 8.0, reverted)
+        assert await reverted()
+        runs = await fleet.runs()
+        bad = [r for r in runs if r["upstream"] in ("n1", "n2")]
+        await _press(fleet, 1.0)
+        later = await fleet.runs()
+        bad_later = [r for r in later if r["upstream"] in ("n1", "n2")]
+    assert len(bad) <= 0.1 * len(runs) + 50
+    assert len(bad_later) == len(bad)
+
+
+async def test_versions_without_an_order_wait(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await _move_fleet(fleet)
+        await _press(fleet, 1.0)
+        used = {r["upstream"] for r in await fleet.runs()}
+    assert used <= {"u1", "u2"}
+
+
+async def test_frozen_peer_delays_nobody(tmp_path):
+    """With one VM stopped, callers of the others are served as before."""
+    async with platform_fleet.small(tmp_path, vms=3) as fleet:
+        frozen = fleet.vms.pop()
+        before = await _press(fleet, 2.0)
+        frozen.process.pause()
+        try:
+            during = await _press(fleet, 4.0)
+        finally:
+            frozen.process.resume()
+    assert set(before) == set(during) == {200}
+    assert len(during) / 4 >= 0.9 * len(before) / 2
+
+
+async def test_metrics_and_reload(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.ask(vm)
+        async with fleet.http.get(vm.url("metrics", "/metrics")) as answer:
+            text = await answer.text()
+        assert (
+            'bramleyworks_answers_total{service="stock",status="200"}' in text
+        )
+        vm.config_path.write_text(
+            vm.config_path.read_text().replace("grace_s = 4", "grace_s = x")
+        )
+        vm.process.signal(signal.SIGHUP)
+
+        async def refused():
+            return any(e["event"] == "reload.refused" for e in vm.events())
+
+        await fleet.until(refused, "the refusal of wrong settings")
+        vm.config_path.write_text(
+            vm.config_path.read_text().replace("grace_s = x", "grace_s = 3")
+        )
+        vm.process.signal(signal.SIGHUP)
+
+        async def reloaded():
+            return any(e["event"] == "reload" for e in vm.events())
+
+        await fleet.until(reloaded, "the reload")
+        assert (await fleet.ask(vm))[0] == 200
--- /dev/null
+++ b/tests/support/platform_fleet.py
@@ -0,0 +1,371 @@
+"""Entry VMs, upstreams and the store as processes on loopback addresses."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import time
+
+import aiohttp
+from support import child
+from support import ports
+
+SETTINGS = """
+[vm]
+id = {id}
+region = {region}
+failure_domain = {domain}
+ip = {ip}
+regions = one-a:one two-a:two
+
+[listen]
+entry = {ip}:{entry}
+ready = {ip}:{ready}
+control = {ip}:{control}
+directory = {ip}:{directory}
+first_port = {peer}
+metrics_port = {metrics}
+
+[seeds]
+control =
+
+[store]
+address = {store}
+
+[limits]
+grace_s = 4
+retry_ratio = 0.2
+retry_slack = 50
+retry_window_s = 10
+max_shift = 0.15
+lookup_ttl_s = 5
+quota_window_s = 5
+quota_over = 0.1
+quota_slack = 20
+"""
+KEY = "key-one"
+HOST = "shop.example"
+
+
+def config(version, **changes):
+    """Returns a configuration with a safe and an unsafe route."""
+    rules = [
+        rule("stock", "safe", "/stock/", "desk"),
+        rule("order", "unsafe", "/order/", "desk"),
+        rule("open", "safe", "/open/", "desk", public=True),
+        *changes.get("rules", ()),
+    ]
+    return {
+        "version": f"r{version}",
+        "limits": changes.get(
+            "limits",
+            {
+                "max_header_bytes": 4096,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_ms": 1000,
+                "idle_timeout_ms": 5000,
+            },
+        ),
+        "tenants": [
+            {
+                "name": "org-one",
+                "api_keys": changes.get("keys", [KEY]),
+                "priority": 1,
+                "rate_per_s": changes.get("rate", 0),
+                "burst": changes.get("burst", 0),
+                "home_regions": changes.get("homes", []),
+            }
+        ],
+        "listeners": [{"host": HOST, "rules": rules}],
+        "clusters": [
+            {
+                "name": name,
+                "health_path": "/healthz",
+                "max_conns": 300,
+                "cold_s": 3.0,
+                "cold_per_s": 10.0,
+            }
+            for name in ("desk", "gate")
+        ],
+    }
+
+
+def rule(name, kind, prefix, service, public=False, **action):
+    """Returns one route."""
+    return {
+        "name": name,
+        "kind": kind,
+        "goal_ms": 300,
+        "priority": 1,
+        "public": public,
+        "sticky": True,
+        "match": {"prefix": prefix},
+        "action": {
+            "service": service,
+            "timeout_ms": 1500,
+            "attempts": 2,
+            "home_regions": [],
+        }
+        | action,
+    }
+
+
+@dataclasses.dataclass
+class Vm:
+    """Addresses of one entry VM, and its process."""
+
+    id: str
+    ip: str
+    config_path: object
+    process: child.Child
+    values: dict
+
+    def url(self, name, path):
+        return f"http://{self.ip}:{self.values[name]}{path}"
+
+    def events(self):
+        """Returns the lines of its log."""
+        found = []
+        for line in self.process.log().splitlines():
+            with contextlib.suppress(json.JSONDecodeError):
+                found.append(json.loads(line))
+        return found
+
+    def requests(self, request_id):
+        """Returns the log lines of one request."""
+        return [
+            e
+            for e in self.events()
+            if e["event"] == "request" and e["id"] == request_id
+        ]
+
+
+class Fleet:
+    """Starts and ends the processes of one test."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._stack = contextlib.AsyncExitStack()
+        self.store = f"127.0.0.1:{ports.free_port()}"
+        self.vms = []
+        self.upstreams = {}
+        self._ports = {
+            name: ports.free_port()
+            for name in (
+                "entry",
+                "ready",
+                "control",
+                "directory",
+                "peer",
+                "metrics",
+            )
+        }
+        self._next_id = 0
+
+    async def __aenter__(self):
+        self.http = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=5), auto_decompress=False
+            )
+        )
+        self.store_process = self._start(
+            "store", "bramleyworks_standins.kv_store", [self.store]
+        )
+        await self.until(self._store_answers, "the store")
+        return self
+
+    async def __aexit__(self, *exc):
+        await self._stack.aclose()
+
+    def _start(self, name, module, args):
+        started = child.Child(name, module, args, self._folder / f"{name}.log")
+        self._stack.callback(started.close)
+        return started
+
+    async def _store_answers(self):
+        async with self.http.get(f"http://{self.store}/status"):
+            return True
+
+    async def until(self, check, what, timeout_s=8.0):
+        """Waits until an awaitable check is true."""
+        end_s = time.monotonic() + timeout_s
+        last = None
+        while time.monotonic() < end_s:
+            try:
+                if await check():
+                    return
+            except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+                last = exc
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{what} did not come: {last!r}")
+
+    async def operate(self, puts=(), remove=()):
+        """Writes JSON values and removes keys, as operators do."""
+        coded = {
+            key: base64.b64encode(json.dumps(value).encode()).decode()
+            for key, value in dict(puts).items()
+        }
+        body = {"puts": coded, "remove": list(remove)}
+        async with self.http.post(
+            f"http://{self.store}/operator", json=body
+        ) as answer:
+            return (await answer.json())["rev"]
+
+    async def store_faults(self, faults=None, compact=False):
+        body = {"faults": faults or {}, "compact": compact}
+        async with self.http.post(f"http://{self.store}/faults", json=body):
+            pass
+
+    async def store_rows(self):
+        async with self.http.get(f"http://{self.store}/status") as answer:
+            rows = (await answer.json())["rows"]
+        return {
+            key: json.loads(base64.b64decode(value))
+            for key, value in rows.items()
+        }
+
+    async def add_upstream(
+        self, name, slots=4, work_ms=20, domain="one-a", **fields
+    ):
+        """Starts an upstream and registers it."""
+        address = f"127.0.0.1:{ports.free_port()}"
+        process = self._start(
+            name,
+            "bramleyworks_standins.slot_server",
+            [address, name, slots, work_ms],
+        )
+        self.upstreams[name] = (address, process)
+        await self.until(lambda: self.upstream_status(name), name)
+        await self.register(name, slots=slots, domain=domain, **fields)
+
+    async def register(self, name, slots=4, domain="one-a", **fields):
+        entry = {
+            "service": "desk",
+            "addr": self.upstreams[name][0],
+            "zone": domain,
+            "version": "v1",
+            "slots": slots,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        await self.operate({f"servers/{name}": entry | fields})
+
+    async def upstream_status(self, name):
+        address, _ = self.upstreams[name]
+        async with self.http.get(f"http://{address}/status") as answer:
+            return await answer.json(content_type=None)
+
+    async def upstream_fault(self, name, fault):
+        address, _ = self.upstreams[name]
+        async with self.http.post(
+            f"http://{address}/faults", data=fault.encode()
+        ):
+            pass
+
+    async def runs(self):
+        """Returns all requests that upstreams ran."""
+        found = []
+        for name in self.upstreams:
+            status = await self.upstream_status(name)
+            found += [run | {"upstream": name} for run in status["runs"]]
+        return found
+
+    async def add_vm(self, region="one", wait=True):
+        number = len(self.vms) + 1
+        ip = f"127.0.1.{number}"
+        name = f"vm{number}"
+        values = self._ports | {
+            "id": name,
+            "region": region,
+            "domain": f"{region}-a",
+            "ip": ip,
+            "store": self.store,
+        }
+        path = self._folder / f"{name}.ini"
+        path.write_text(SETTINGS.format(**values))
+        vm = Vm(name, ip, path, self._start_vm(name, path), values)
+        self.vms.append(vm)
+        if wait:
+            await self.until(lambda: self.is_ready(vm), name)
+        return vm
+
+    def _start_vm(self, name, path):
+        return self._start(name, "bramleyworks.gateway", ["--config", path])
+
+    async def restart(self, vm, wait=True):
+        vm.process = self._start_vm(vm.id, vm.config_path)
+        if wait:
+            await self.until(lambda: self.is_ready(vm), vm.id)
+
+    async def is_ready(self, vm):
+        async with self.http.get(vm.url("ready", "/v1/readyz")) as answer:
+            return answer.status == 200
+
+    async def knows_upstreams(self, vm, count):
+        """Waits until a VM knows some number of upstreams."""
+
+        async def check():
+            states = [e for e in vm.events() if e["event"] == "state"]
+            return bool(states) and len(states[-1]["upstreams"]) == count
+
+        await self.until(check, f"{count} upstreams at {vm.id}")
+
+    async def ask(
+        self,
+        vm,
+        path="/stock/1",
+        method="GET",
+        key=KEY,
+        body=None,
+        deadline_ms=2000,
+        headers=(),
+    ):
+        """Sends a request; returns status, headers, body and its id."""
+        self._next_id += 1
+        request_id = f"r{self._next_id:06d}"
+        sent = {
+            "Host": HOST,
+            "X-Bramleyworks-Attempt-Id": request_id,
+            "X-Bramleyworks-Deadline-Ms": str(deadline_ms),
+            **dict(headers),
+        }
+        if key is not None:
+            sent["X-Api-Key"] = key
+        async with self.http.request(
+            method, vm.url("entry", path), headers=sent, data=body
+        ) as answer:
+            return (
+                answer.status,
+                answer.headers,
+                await answer.read(),
+                request_id,
+            )
+
+    async def raw(self, vm, data, wait_s=2.0):
+        """Sends bytes; returns all that comes until the connection ends."""
+        reader, writer = await asyncio.open_connection(
+            vm.ip, vm.values["entry"]
+        )
+        writer.write(data)
+        got = b""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(wait_s):
+                while chunk := await reader.read(65536):
+                    got += chunk
+        writer.close()
+        return got
+
+
+@contextlib.asynccontextmanager
+async def small(folder, vms=1, upstreams=2, **options):
+    """Runs a fleet with one configuration, ready to serve."""
+    async with Fleet(folder) as fleet:
+        await fleet.operate({"op/config": config(1, **options)})
+        for number in range(upstreams):
+            await fleet.add_upstream(f"u{number + 1}")
+        for _ in range(vms):
+            await fleet.add_vm()
+        yield fleet
