Keep limits by told counts, and let regions speak for themselves

Change: VMs reckon one common level from the counts they tell each other and may use only their part of it before these are known; above 16 VMs two speakers of each region watch the store and tell other regions sums, all others follow them.

--- a/src/bramleyworks/gateway/beat.py
+++ b/src/bramleyworks/gateway/beat.py
@@ -32,17 +32,25 @@
         number: Grows with each heartbeat of an incarnation.
         is_ready: Whether it takes callers.
         revision: Store revision up to which it knows all changes.
+        store_age_s: Time since it heard from the store itself.
         demand: Slots that its callers' requests would fill, by service.
-        rates: Requests per second by organisation.
+        use: Requests admitted since its start, and requests per second that
+            it was asked to admit, by organisation.
         in_flight: Running requests by upstream.
         moves: Moves by service.
+        members: Entry addresses of the VMs that take callers, by id, if it
+            speaks for all VMs of its region; else empty.
+        speaks_for: VMs that it speaks for, 0 if for itself alone.
     """
 
     vm: vm_module.Vm
     number: int
     is_ready: bool
     revision: int
+    store_age_s: float
     demand: dict[str, float]
-    rates: dict[str, float]
+    use: dict[str, tuple[int, float]]
     in_flight: dict[str, int]
     moves: dict[str, MoveReport]
+    members: dict[str, str] = {}
+    speaks_for: int = 0
--- a/src/bramleyworks/gateway/control_app.py
+++ b/src/bramleyworks/gateway/control_app.py
@@ -13,17 +13,20 @@
 
 
 def create_control(
-    copy: Callable[[], bytes | None],
+    copy: Callable[[int], bytes | None],
 ) -> applications.Starlette:
     """Returns the interface for other VMs.
 
     Args:
-        copy: Returns this VM's copy of the store, None before it has one.
+        copy: Returns what this VM's copy of the store holds beyond a
+            revision, all for 0; None before it has a copy.
     """
 
     async def read_copy(req: requests.Request) -> responses.Response:
-        del req
-        content = copy()
+        after = req.query_params.get("after", "0")
+        if not after.isdigit():
+            return responses.Response(status_code=400)
+        content = copy(int(after))
         if content is None:
             return responses.Response(status_code=503)
         return responses.Response(content, media_type="application/msgpack")
--- a/src/bramleyworks/gateway/directory.py
+++ b/src/bramleyworks/gateway/directory.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
-from bramleyworks.gateway import beat as beat_module
 from bramleyworks.gateway import vm as vm_module
 
 # Longest answer that callers take.
@@ -17,7 +16,7 @@
         self,
         own: vm_module.Vm,
         is_ready: Callable[[], bool],
-        peers: Callable[[], list[beat_module.Beat]],
+        peers: Callable[[], Mapping[str, tuple[str, str]]],
         registered: Callable[[], Mapping[str, vm_module.Vm]],
     ):
         """Takes what it decides by.
@@ -25,8 +24,8 @@
         Args:
             own: This VM.
             is_ready: Whether this VM takes callers.
-            peers: Returns the heartbeats of live peers.
-            registered: Returns the registered VMs.
+            peers: Returns region and entry address of live peers by id.
+            registered: Returns the registered VMs by id.
         """
         self._own = own
         self._is_ready = is_ready
@@ -40,11 +39,12 @@
         named only when it has none, since each request through them crosses
         a region and returns.
         """
-        live = [b.vm for b in self._peers() if b.is_ready]
+        live = list(self._peers().values())
         if self._is_ready():
-            live.append(self._own)
+            live.append((self._own.region, self._own.entry))
         if not live:
             # Nobody is heard: this VM may be the one that is cut off.
-            live = list(self._registered().values())
-        near = [vm for vm in live if vm.region == region] or live
-        return sorted(vm.entry for vm in near)[:ADDRESSES_MAX]
+            live = [(v.region, v.entry) for v in self._registered().values()]
+        near = [entry for found, entry in live if found == region]
+        chosen = near or [entry for _, entry in live]
+        return sorted(chosen)[:ADDRESSES_MAX]
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -278,7 +278,7 @@
                     raise Refused(503, "no region may serve it")
             if organisation.priority is not None:
                 priority = organisation.priority
-            wait_s = self._quotas.admit(organisation, self._vms_in(None))
+            wait_s = self._quotas.admit(organisation)
             if wait_s > 0:
                 raise Refused(429, "the organisation's rate is used up", wait_s)
         key = req.get(header_names.OBJECT_KEY)
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -85,12 +85,20 @@
         self._mirror = mirror_module.Mirror(self._take)
         self._store = kv_store.KvStore(settings.store)
         self._peers = peers_module.Peers(
-            self._own, self._beat, self._addresses, clock
+            self._own,
+            self._beat,
+            lambda: self._world.vms,
+            [
+                f"{address.rpartition(':')[0]}:{settings.first_port}"
+                for address in settings.seeds
+            ],
+            clock,
         )
         self._sync = store_sync.StoreSync(
+            settings.vm_id,
             self._store,
             self._mirror,
-            self._peers.live,
+            self._peers,
             self._seed_controls,
             log,
             clock,
@@ -129,7 +137,10 @@
             self._exchanges.start, self._world.limits, clock
         )
         self._directory = directory_module.Directory(
-            self._own, self._is_ready, self._peers.live, lambda: self._world.vms
+            self._own,
+            self._is_ready,
+            self._peers.entries,
+            lambda: self._world.vms,
         )
         self._due_since: dict[tuple[int, str], float] = {}
 
@@ -266,7 +277,7 @@
             self._log.flush()
 
     def _tick(self) -> None:
-        beats = self._peers.live()
+        beats = self._peers.sources()
         in_flight: dict[str, float] = {}
         for beat in beats:
             for name, count in beat.in_flight.items():
@@ -274,8 +285,14 @@
         for upstream in self._world.registry.all():
             upstream.peers_in_flight = in_flight.get(upstream.instance.id, 0.0)
             upstream.sweep()
-        self._quotas.share([b.rates for b in beats], self._vms_in(None))
         intent = self._world.intent
+        if intent is not None:
+            self._quotas.prepare(intent.organisations.values())
+        self._quotas.share(
+            {f"{b.vm.id} {b.vm.incarnation}": b.use for b in beats},
+            self._silent(beats),
+            self._peers.lag_s,
+        )
         self._traffic.tick(
             intent.services if intent else (),
             lambda service: self._regional(service, beats),
@@ -295,7 +312,7 @@
             self._log.write(
                 "state",
                 running=self._exchanges.running,
-                peers=len(self._peers.live()),
+                peers=self._peers.count() - 1,
                 revision=self._mirror.revision,
                 config=self._world.intent.version if self._world.intent else 0,
                 store_away=self._sync.is_away,
@@ -371,6 +388,7 @@
         )
 
     def _take(self, item: kv_item.KvItem) -> None:
+        self._peers.tell_news()
         fact = wire_facts.decode(item)
         if fact is not None:
             self._world.take(fact)
@@ -378,29 +396,26 @@
     def _is_ready(self) -> bool:
         return self._world.intent is not None and not self._is_stopping
 
-    def _copy(self) -> bytes | None:
+    def _copy(self, after: int) -> bytes | None:
         if not self._sync.has_state:
             return None
-        return store_sync.encode_copy(self._mirror)
+        return store_sync.encode_copy(self._mirror, after)
 
     def _vms_in(self, region: str | None) -> int:
         """Returns the VMs of a region to reckon with, of all for None."""
         known = {self._own.id: self._own.region}
         known.update((vm.id, vm.region) for vm in self._world.vms.values())
-        known.update((b.vm.id, b.vm.region) for b in self._peers.live())
+        known.update(
+            (name, found) for name, (found, _) in self._peers.entries().items()
+        )
         if region is None:
             return len(known)
         return sum(1 for found in known.values() if found == region)
 
-    def _addresses(self) -> list[str]:
-        """Returns peers to send heartbeats to besides those heard from."""
-        found = [vm.peer for vm in self._world.vms.values()]
-        if not found:
-            found = [
-                f"{address.rpartition(':')[0]}:{self._cfg.first_port}"
-                for address in self._cfg.seeds
-            ]
-        return found
+    def _silent(self, beats: list[beat_module.Beat]) -> int:
+        """Returns the known VMs that no heartbeat speaks for."""
+        heard = 1 + sum(max(1, beat.speaks_for) for beat in beats)
+        return max(0, self._vms_in(None) - heard)
 
     def _seed_controls(self) -> list[str]:
         found = [vm.control for vm in self._world.vms.values()]
@@ -414,7 +429,8 @@
             is_ready=self._is_ready(),
             revision=self._mirror.revision,
             demand=self._traffic.demand(),
-            rates=self._quotas.rates(),
+            store_age_s=round(self._sync.age_s, 2),
+            use=self._quotas.use(),
             in_flight={
                 u.instance.id: u.in_flight
                 for u in self._world.registry.all()
--- a/src/bramleyworks/gateway/mirror.py
+++ b/src/bramleyworks/gateway/mirror.py
@@ -1,10 +1,14 @@
 """This VM's copy of the store's items."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 
 from bramleyworks.platform import kv_item
 
+# Changes that are kept for peers that follow this VM's copy.
+RECENT_CHANGES = 2000
+
 
 class Mirror:
     """Items by key, each at its newest revision known here.
@@ -22,6 +26,10 @@
         self.revision = 0
         self._notify = notify
         self._items: dict[str, kv_item.KvItem] = {}
+        self._recent: collections.deque[kv_item.KvItem] = collections.deque(
+            maxlen=RECENT_CHANGES
+        )
+        self._recent_from = 0
 
     def items(self) -> list[kv_item.KvItem]:
         """Returns all items that exist."""
@@ -37,15 +45,27 @@
         for item in changes:
             known = self._items.get(item.key)
             if known is None or item.revision > known.revision:
+                if len(self._recent) == RECENT_CHANGES:
+                    self._recent_from = self._recent[0].revision
                 self._items[item.key] = item
+                self._recent.append(item)
                 self._notify(item)
         self.revision = max(self.revision, revision)
 
+    def changes_since(self, revision: int) -> list[kv_item.KvItem] | None:
+        """Returns the changes after a revision, None if not all are known."""
+        if revision < self._recent_from:
+            return None
+        return [i for i in self._recent if i.revision > revision]
+
     def replace(self, revision: int, items: list[kv_item.KvItem]) -> None:
         """Takes a complete list as of a revision.
 
         Items that are missing in it are gone, unless they are newer than it.
         """
+        # Removals before the list were not seen one by one.
+        self._recent.clear()
+        self._recent_from = revision
         listed = {item.key for item in items}
         gone = [
             kv_item.KvItem(key, None, max(known.revision, revision))
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -1,28 +1,39 @@
 """Heartbeats between entry VMs over UDP.
 
 A datagram carries the sender's whole state, so that a lost one costs nothing
-but its age, and a peer that does not answer holds nobody up.
+but its age, and a peer that does not answer holds nobody up. In a small fleet
+every VM tells every other. In a large one VMs tell those of their region, and
+two of them speak for the region to all others, so that the cost of one VM
+grows with the size of its region and with the number of regions.
 """
 
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import msgspec
 from absl import logging
 
 from bramleyworks.gateway import beat as beat_module
+from bramleyworks.gateway import region_summary
 from bramleyworks.gateway import vm as vm_module
+from bramleyworks.policy import rendezvous
 
-# Time between two heartbeats of a VM with few peers. It bounds the age of
-# what VMs know about each other's requests.
+# Time between two heartbeats. It bounds the age of what VMs know about each
+# other's requests.
 BEAT_S = 0.25
+# VMs up to which each one tells each other one.
+FLAT_VMS = 16
 # Peers up to which the interval stays the same; with more, it grows with
 # their number so that the cost of one VM stays the same.
 PEERS_AT_FULL_RATE = 16
 # Heartbeats of a peer that may be lost before it counts as gone.
 MISSED_BEATS = 6
+# VMs of a region that speak for it.
+SPEAKERS = 2
+# Shortest time between two heartbeats that are sent because of news.
+NEWS_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +51,8 @@
         self,
         own: vm_module.Vm,
         build: Callable[[int], beat_module.Beat],
-        known: Callable[[], Iterable[str]],
+        registered: Callable[[], Mapping[str, vm_module.Vm]],
+        seeds: list[str],
         clock: Callable[[], float],
     ):
         """Creates the link without opening its socket.
@@ -48,21 +60,42 @@
         Args:
             own: This VM.
             build: Returns the heartbeat with a given number.
-            known: Returns addresses to send to besides the peers heard from.
+            registered: Returns the registered VMs by id.
+            seeds: Addresses to send to before any VM is known.
             clock: Monotonic time in seconds.
         """
         self._own = own
         self._build = build
-        self._known = known
+        self._registered = registered
+        self._seeds = seeds
         self._clock = clock
         self._heard: dict[str, Heard] = {}
+        self._regions: dict[str, Heard] = {}
+        self._summary = region_summary.RegionSummary()
         self._number = 0
+        self._sent_s = 0.0
+        self._has_news = False
         self._transport: asyncio.DatagramTransport | None = None
 
+    @property
+    def is_flat(self) -> bool:
+        """Whether every VM tells every other."""
+        known = {self._own.id, *self._heard, *self._registered()}
+        return len(known) <= FLAT_VMS
+
     @property
     def interval_s(self) -> float:
         """Time between two heartbeats."""
-        return BEAT_S * max(1.0, len(self._heard) / PEERS_AT_FULL_RATE)
+        peers = sum(1 for h in self._heard.values() if self._is_near(h.beat))
+        if self.is_flat:
+            peers = len(self._heard)
+        return BEAT_S * max(1.0, peers / PEERS_AT_FULL_RATE)
+
+    @property
+    def lag_s(self) -> float:
+        """Time after which all VMs know what this one has told."""
+        hops = 1 if self.is_flat else 2
+        return hops * self.interval_s
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Keeps the socket."""
@@ -77,46 +110,121 @@
             return
         if beat.vm.id == self._own.id:
             return
+        heard = Heard(beat, self._clock())
+        if beat.speaks_for:
+            self._take_summary(heard)
+            return
         known = self._heard.get(beat.vm.id)
         if known is not None and _age(beat) <= _age(known.beat):
             return
-        self._heard[beat.vm.id] = Heard(beat, self._clock())
+        self._heard[beat.vm.id] = heard
         if known is None:
             logging.info("peer %s heard", beat.vm.id)
 
+    def _take_summary(self, heard: Heard) -> None:
+        """Takes a region's summary; one speaker is believed at a time."""
+        region = heard.beat.vm.region
+        if region == self._own.region:
+            return
+        known = self._regions.get(region)
+        is_other = known is not None and known.beat.vm.id != heard.beat.vm.id
+        if is_other and self._is_fresh(known):
+            return
+        self._regions[region] = heard
+
     def error_received(self, exc: Exception) -> None:
         """Logs an error of the socket; the peer is judged by its silence."""
         logging.debug("heartbeat socket: %s", exc)
 
-    def live(self) -> list[beat_module.Beat]:
-        """Returns the heartbeats of the peers that are heard from."""
-        limit = self._clock() - MISSED_BEATS * self.interval_s
-        return [h.beat for h in self._heard.values() if h.at_s >= limit]
+    def near(self) -> list[beat_module.Beat]:
+        """Returns the heartbeats of live peers that speak for themselves.
 
-    def age_s(self, vm_id: str) -> float | None:
-        """Returns the time since a peer was heard, None if it never was."""
-        heard = self._heard.get(vm_id)
-        return None if heard is None else self._clock() - heard.at_s
+        They are all peers in a small fleet, else those of the own region.
+        """
+        live = [h.beat for h in self._heard.values() if self._is_fresh(h)]
+        if self.is_flat:
+            return live
+        return [beat for beat in live if self._is_near(beat)]
+
+    def sources(self) -> list[beat_module.Beat]:
+        """Returns heartbeats that cover every live peer once."""
+        if self.is_flat:
+            return self.near()
+        far = [h.beat for h in self._regions.values() if self._is_fresh(h)]
+        return self.near() + far
+
+    def count(self) -> int:
+        """Returns the number of live VMs, this one included."""
+        return 1 + sum(max(1, beat.speaks_for) for beat in self.sources())
+
+    def entries(self) -> dict[str, tuple[str, str]]:
+        """Returns region and entry address of peers that take callers."""
+        found = {}
+        for beat in self.sources():
+            if beat.speaks_for:
+                for name, entry in beat.members.items():
+                    found[name] = (beat.vm.region, entry)
+            elif beat.is_ready:
+                found[beat.vm.id] = (beat.vm.region, beat.vm.entry)
+        return found
+
+    def speakers(self) -> list[str]:
+        """Returns the VMs that speak for the own region."""
+        names = [beat.vm.id for beat in self.near() if self._is_near(beat)]
+        names.append(self._own.id)
+        return rendezvous.rank(self._own.region, names)[:SPEAKERS]
+
+    def tell_news(self) -> None:
+        """Sends the next heartbeat soon."""
+        self._has_news = True
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
         while True:
-            self.send()
-            self._forget()
-            await asyncio.sleep(self.interval_s)
+            due_s = self._sent_s + self.interval_s - self._clock()
+            if self._has_news or due_s <= 0:
+                self._has_news = False
+                self.send()
+                self._forget()
+            await asyncio.sleep(NEWS_S)
 
     def send(self) -> None:
-        """Sends one heartbeat to every known VM."""
+        """Sends one heartbeat to every VM that is to hear this one."""
         if self._transport is None:
             return
         self._number += 1
-        data = msgspec.msgpack.encode(self._build(self._number))
-        addresses = {h.beat.vm.peer for h in self._heard.values()}
-        addresses.update(self._known())
-        addresses.discard(self._own.peer)
+        self._sent_s = self._clock()
+        beat = self._build(self._number)
+        vms = {name: h.beat.vm for name, h in self._heard.items()}
+        vms.update(self._registered())
+        vms.pop(self._own.id, None)
+        is_flat = self.is_flat
+        near = {
+            vm.peer
+            for vm in vms.values()
+            if is_flat or vm.region == self._own.region
+        }
+        self._send_to(near or set(self._seeds), beat)
+        if not is_flat and self._own.id in self.speakers():
+            summary = self._summary.build(beat, self.near())
+            far = {
+                vm.peer for vm in vms.values() if vm.region != self._own.region
+            }
+            self._send_to(far, summary)
+
+    def _send_to(self, addresses: set[str], beat: beat_module.Beat) -> None:
+        data = msgspec.msgpack.encode(beat)
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            if address != self._own.peer:
+                host, _, port = address.rpartition(":")
+                self._transport.sendto(data, (host, int(port)))
+
+    def _is_near(self, beat: beat_module.Beat) -> bool:
+        return beat.vm.region == self._own.region
+
+    def _is_fresh(self, heard: Heard) -> bool:
+        limit_s = MISSED_BEATS * self.interval_s
+        return heard.at_s >= self._clock() - limit_s
 
     def _forget(self) -> None:
         """Drops peers that have been silent for several times the limit."""
--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -1,46 +1,47 @@
-"""The rates of organisations, shared between VMs by demand."""
+"""The rates of organisations, kept together with all other VMs."""
 
-import dataclasses
+import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 
 from bramleyworks.gateway import organisation as organisation_module
-from bramleyworks.policy import quota_share
-from bramleyworks.policy import token_bucket
+from bramleyworks.policy import shared_limit
 
 # Time constant of the measured demand.
-RATE_TAU_S = 2.0
-# Part of the tolerated excess that buckets may hold in all; the rest covers
-# the time that VMs take to learn of each other's demand.
-TOLERANCE_USE = 0.6
-# Part of a limit that a bucket may start with: a restarted VM must not spend
-# its part of the burst a second time.
-FIRST_PART = 0.25
+RATE_TAU_S = 1.0
+# Parts of the tolerated excess, in proportion to the limit and fixed, that the
+# common bucket holds; the rest covers what VMs admit before they hear of each
+# other.
+OVER_USE = 0.2
+SLACK_USE = 0.5
+NO_USE = (0, 0.0)
 
 
 class _Meter:
     """Requests per second with an exponential window."""
 
     def __init__(self, now_s: float):
-        self._count = 0.0
+        self._count = 0
         self._at_s = now_s
-        self._rate = 0.0
+        self.rate = 0.0
 
     def add(self) -> None:
         self._count += 1
 
-    def rate(self, now_s: float) -> float:
-        """Returns the rate; called about every tick."""
+    def tick(self, now_s: float) -> None:
+        """Brings the rate up to date."""
         passed_s = now_s - self._at_s
-        if passed_s >= 0.1:
-            part = min(1.0, passed_s / RATE_TAU_S)
-            self._rate += part * (self._count / passed_s - self._rate)
-            self._count = 0.0
-            self._at_s = now_s
-        return self._rate
+        if passed_s <= 0.0:
+            return
+        part = min(1.0, passed_s / RATE_TAU_S)
+        self.rate += part * (self._count / passed_s - self.rate)
+        self._count = 0
+        self._at_s = now_s
 
 
 class Quotas:
-    """Admits requests within this VM's part of each limit."""
+    """Admits requests within the limits of their organisations."""
 
     def __init__(
         self,
@@ -60,8 +61,10 @@
         self.configure(window_s, over, slack)
         self._clock = clock
         self._meters: dict[str, _Meter] = {}
-        self._buckets: dict[str, token_bucket.TokenBucket] = {}
-        self._shares: dict[str, float] = {}
+        self._limits: dict[str, shared_limit.SharedLimit] = {}
+        self._told: collections.deque[
+            tuple[float, dict[str, tuple[int, float]]]
+        ] = collections.deque()
 
     def configure(self, window_s: float, over: float, slack: float) -> None:
         """Changes the tolerance; the arguments are those of the class."""
@@ -69,26 +72,11 @@
         self._over = over
         self._slack = slack
 
-    def _burst(self, organisation: organisation_module.Organisation) -> float:
-        """Returns what all buckets of an organisation may hold together.
-
-        The tolerance goes into the buckets: a burst that is dealt to many VMs
-        in small parts would refuse requests that come in clumps.
-        """
-        allowed = organisation.rate_per_s * self._window_s + organisation.burst
-        excess = self._over * allowed + self._slack
-        return organisation.burst + TOLERANCE_USE * excess
-
-    def admit(
-        self,
-        organisation: organisation_module.Organisation,
-        expected_vms: int,
-    ) -> float:
+    def admit(self, organisation: organisation_module.Organisation) -> float:
         """Takes a request into account.
 
         Args:
             organisation: Sender of the request.
-            expected_vms: VMs that share the limit.
 
         Returns:
             0 if it may run, else the seconds until another one may.
@@ -101,54 +89,83 @@
         meter.add()
         if organisation.rate_per_s <= 0:
             return 0.0
-        share = self._shares.get(name, 1.0 / max(1, expected_vms))
-        rate = organisation.rate_per_s * share
-        capacity = max(1.0, self._burst(organisation) * share)
-        bucket = self._buckets.get(name)
-        if bucket is None:
-            bucket = token_bucket.TokenBucket(FIRST_PART * capacity, now_s)
-        bucket = token_bucket.with_share(bucket, now_s, rate, capacity)
-        bucket, taken = token_bucket.take(bucket, now_s, 1.0)
-        self._buckets[name] = bucket
-        if taken:
-            return 0.0
-        missing = 1.0 - token_bucket.available(bucket)
-        return missing / max(rate, 1e-3)
+        limit = self._limit(organisation)
+        return limit.admit(now_s)
+
+    def prepare(
+        self, organisations: Iterable[organisation_module.Organisation]
+    ) -> None:
+        """Takes limits into account before their first request."""
+        for organisation in organisations:
+            if organisation.rate_per_s > 0:
+                self._limit(organisation)
+
+    def _limit(
+        self, organisation: organisation_module.Organisation
+    ) -> shared_limit.SharedLimit:
+        """Returns the limit of an organisation as it is configured now."""
+        rate_per_s = organisation.rate_per_s
+        allowed = rate_per_s * self._window_s + organisation.burst
+        over = self._over * allowed
+        burst = organisation.burst + OVER_USE * over + SLACK_USE * self._slack
+        excess = organisation.burst + over + self._slack
+        limit = self._limits.get(organisation.name)
+        if limit is None:
+            limit = shared_limit.SharedLimit(
+                rate_per_s, burst, excess, self._clock()
+            )
+            self._limits[organisation.name] = limit
+        limit.configure(rate_per_s, burst, excess)
+        return limit
 
     def give_back(self, organisation: str) -> None:
-        """Returns the token of a request that did not run."""
-        bucket = self._buckets.get(organisation)
-        if bucket is not None:
-            tokens = min(bucket.capacity, bucket.tokens + 1.0)
-            self._buckets[organisation] = dataclasses.replace(
-                bucket, tokens=tokens
-            )
+        """Takes back a request that was admitted and did not run."""
+        limit = self._limits.get(organisation)
+        if limit is not None:
+            limit.give_back()
 
-    def rates(self) -> dict[str, float]:
-        """Returns the measured requests per second by organisation."""
+    def use(self) -> dict[str, tuple[int, float]]:
+        """Returns admitted requests and demand by organisation, for peers."""
         now_s = self._clock()
-        return {
-            name: round(rate, 2)
-            for name, meter in self._meters.items()
-            if (rate := meter.rate(now_s)) > 0.01
-        }
-
-    def share(self, peers: list[dict[str, float]], expected_vms: int) -> None:
-        """Computes this VM's parts anew.
+        found = {}
+        for name, meter in self._meters.items():
+            meter.tick(now_s)
+            limit = self._limits.get(name)
+            count = limit.admitted if limit else 0
+            if count or meter.rate > 0.01:
+                found[name] = (count, round(meter.rate, 1))
+        self._told.append((now_s, found))
+        return found
+
+    def share(
+        self,
+        peers: Mapping[str, Mapping[str, tuple[int, float]]],
+        silent: int,
+        lag_s: float,
+    ) -> None:
+        """Takes what peers have told.
 
         Args:
-            peers: Rates by organisation of each other live VM.
-            expected_vms: VMs that share the limits.
+            peers: Use by organisation, by VM or region and incarnation.
+            silent: VMs that share the limits and are not heard.
+            lag_s: Time after which peers know what this VM has told.
         """
-        own = self.rates()
-        names = set(own)
-        for rates in peers:
-            names.update(rates)
-        self._shares = {
-            name: quota_share.share(
-                own.get(name, 0.0),
-                [rates.get(name, 0.0) for rates in peers],
-                expected_vms,
+        now_s = self._clock()
+        while len(self._told) > 1 and self._told[1][0] <= now_s - lag_s:
+            self._told.popleft()
+        told: dict[str, tuple[int, float]] = {}
+        if self._told and self._told[0][0] <= now_s - lag_s:
+            told = self._told[0][1]
+        for name, limit in self._limits.items():
+            # Its own use as old as that of the others, so that all VMs come to
+            # parts that add up to one.
+            own = shared_limit.Use(*told.get(name, NO_USE))
+            limit.update(
+                own=own,
+                peers={
+                    vm: shared_limit.Use(*use.get(name, NO_USE))
+                    for vm, use in peers.items()
+                },
+                silent=silent,
+                now_s=now_s,
             )
-            for name in names
-        }
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -10,9 +10,9 @@
 from absl import logging
 
 from bramleyworks import errors
-from bramleyworks.gateway import beat as beat_module
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import mirror as mirror_module
+from bramleyworks.gateway import peers as peers_module
 from bramleyworks.platform import http_session
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import kv_store
@@ -32,6 +32,13 @@
 RETURN_S = 2.0
 # Time without an answer from which the store counts as away.
 AWAY_S = 1.0
+# Time between two looks at what speakers know; they tell news at once.
+FOLLOW_S = 0.05
+# Age of a speaker's last answer from the store up to which it is followed: a
+# watch may last WATCH_S, and its answer may be some time on its way.
+SPEAKER_AGE_S = 3.0
+# Age that stands for "never", in heartbeats.
+MAX_AGE_S = 3600.0
 # Longest time of reading a peer's copy.
 PEER_TIMEOUT_S = 1.0
 
@@ -41,9 +48,10 @@
 
     def __init__(
         self,
+        own_id: str,
         store: kv_store.KvStore,
         mirror: mirror_module.Mirror,
-        peers: Callable[[], list[beat_module.Beat]],
+        peers: peers_module.Peers,
         seeds: Callable[[], list[str]],
         log: event_log.EventLog,
         clock: Callable[[], float],
@@ -51,13 +59,15 @@
         """Takes the collaborators.
 
         Args:
+            own_id: Name of this VM.
             store: Client of the store.
             mirror: Copy to keep.
-            peers: Returns the heartbeats of live peers.
+            peers: Heartbeats of peers.
             seeds: Returns control addresses to try when no peer is known.
             log: Log of decisions.
             clock: Monotonic time in seconds.
         """
+        self._own_id = own_id
         self._store = store
         self._mirror = mirror
         self._peers = peers
@@ -81,6 +91,10 @@
                     self._answered()
                     self._mirror.replace(revision, self._keep(items))
                     self.has_state = listed = True
+                elif self._follows():
+                    await asyncio.sleep(FOLLOW_S)
+                    await self._copy_from_peer()
+                    continue
                 else:
                     await asyncio.sleep(GATHER_S)
                     revision, changes = await self._store.watch(
@@ -99,6 +113,25 @@
                 await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
                 pause_s = min(2 * pause_s, PAUSE_MAX_S)
 
+    @property
+    def age_s(self) -> float:
+        """Time since the store itself answered."""
+        return min(MAX_AGE_S, self._clock() - self._answered_s)
+
+    def _follows(self) -> bool:
+        """Returns whether a speaker of the region watches for this VM.
+
+        In a large fleet only the speakers of each region watch the store. A
+        VM that hears of none with a recent answer watches for itself.
+        """
+        speakers = self._peers.speakers()
+        if self._peers.is_flat or self._own_id in speakers:
+            return False
+        return any(
+            beat.vm.id in speakers and beat.store_age_s < SPEAKER_AGE_S
+            for beat in self._peers.near()
+        )
+
     def _answered(self) -> None:
         now_s = self._clock()
         if self.is_away:
@@ -164,7 +197,7 @@
         """Takes the copy of a peer that knows more."""
         ahead = [
             beat.vm.control
-            for beat in self._peers()
+            for beat in self._peers.near()
             if beat.revision > self._mirror.revision
         ]
         if not ahead and not self.has_state:
@@ -182,25 +215,48 @@
             logging.info("copy from %s: %r", address, exc)
             return
         try:
-            revision, items = decode_copy(raw)
+            copy = msgspec.msgpack.decode(raw, type=Copy)
         except msgspec.DecodeError as exc:
             logging.warning("copy from %s: %s", address, exc)
             return
-        if revision > self._mirror.revision:
-            self._mirror.replace(revision, items)
-            self.has_state = True
-            self._log.write("store.copied", peer=address, revision=revision)
+        if copy.revision <= self._mirror.revision:
+            return
+        items = [kv_item.KvItem(*item) for item in copy.items]
+        if copy.is_whole:
+            self._mirror.replace(copy.revision, items)
+        else:
+            self._mirror.apply(copy.revision, items)
+        self.has_state = True
+        self._log.write(
+            "store.copied",
+            peer=address,
+            revision=copy.revision,
+            changes=len(items),
+        )
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True):
+    """A VM's copy of the store, or what has changed in it.
 
+    Attributes:
+        revision: Store revision up to which all changes are known.
+        is_whole: Whether items that are missing do not exist.
+        items: Key, value (None for a removal) and revision of each item.
+    """
 
-def encode_copy(mirror: mirror_module.Mirror) -> bytes:
-    """Encodes a copy for a peer."""
-    items = [(i.key, i.value, i.revision) for i in mirror.items()]
-    return msgspec.msgpack.encode((mirror.revision, items))
+    revision: int
+    is_whole: bool
+    items: list[tuple[str, bytes | None, int]]
 
 
-def decode_copy(raw: bytes) -> tuple[int, list[kv_item.KvItem]]:
-    """Decodes a peer's copy; raises ``msgspec.DecodeError``."""
-    revision, items = msgspec.msgpack.decode(
-        raw, type=tuple[int, list[tuple[str, bytes, int]]]
+def encode_copy(mirror: mirror_module.Mirror, after: int) -> bytes:
+    """Encodes what a peer lacks that knows all changes up to a revision."""
+    changes = mirror.changes_since(after) if after else None
+    found = mirror.items() if changes is None else changes
+    return msgspec.msgpack.encode(
+        Copy(
+            mirror.revision,
+            changes is None,
+            [(i.key, i.value, i.revision) for i in found],
+        )
     )
-    return revision, [kv_item.KvItem(*item) for item in items]
--- /dev/null
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -0,0 +1,167 @@
+"""One limit that several VMs keep together by telling each other their counts.
+
+Each VM reckons the level of one common bucket from what all VMs have admitted,
+as far as it has heard. What was admitted since is unknown to the others, so a
+VM may admit only its part of the level before its counts have reached them.
+A level below zero is paid back before anything else is admitted. The load it
+answers is an organisation that sends eight times its usual through all VMs
+from one moment to the next, with a limit of 1.6 times its usual.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+# Part of the limit's level that is dealt out evenly whatever the demand, so
+# that a VM can admit the first requests of an organisation.
+EVEN_PART = 0.2
+# Level, as a part of the bucket, from which a VM may go beyond its part:
+# requests come in clumps, and the part of one VM of many is less than one.
+CALM_LEVEL = 0.4
+CALM_FACTOR = 1.4
+CALM_LEAST = 2.0
+# Part of what a window allows beyond the rate that VMs may use unheard.
+CALM_SPREAD = 0.9
+# Demand, as a part of the rate, up to which it may do so.
+CALM_DEMAND = 1.2
+# The same per second as a part of what a window allows beyond the rate; the
+# measured demand of a small organisation scatters.
+CALM_EXCESS_PER_S = 0.1
+# Longest time for which an excess is paid back, in seconds of the rate.
+DEBT_MAX_S = 5.0
+# Level that a VM assumes before it has heard of the others' use.
+FIRST_LEVEL = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Use:
+    """What one VM tells of its use of a limit.
+
+    Attributes:
+        admitted: Requests admitted since its start.
+        asked_per_s: Requests per second that it was asked to admit.
+    """
+
+    admitted: int
+    asked_per_s: float
+
+
+class SharedLimit:
+    """A VM's view of one limit.
+
+    A class with state, because copying it for each request would cost more
+    than the decision.
+    """
+
+    def __init__(
+        self, rate_per_s: float, burst: float, excess: float, now_s: float
+    ):
+        """Starts with a part of the bucket.
+
+        Args:
+            rate_per_s: Requests per second for all VMs together.
+            burst: Requests that may come at once.
+            excess: Requests that a window allows beyond the rate.
+            now_s: Monotonic time in seconds.
+        """
+        self._rate = rate_per_s
+        self._burst = burst
+        self._excess = excess
+        self._level = FIRST_LEVEL * burst
+        self._at_s = now_s
+        self._peers: dict[str, int] = {}
+        self._own_told = 0
+        self._own = 0
+        self._part = 0.0
+        self._even = 0.0
+        self._is_calm = True
+        self._heard_part = 1.0
+
+    @property
+    def admitted(self) -> int:
+        """Requests admitted since the start."""
+        return self._own
+
+    def configure(self, rate_per_s: float, burst: float, excess: float) -> None:
+        """Changes the limit; a smaller bucket loses what is over its size."""
+        self._rate = rate_per_s
+        self._excess = excess
+        self._burst = burst
+        self._level = min(self._level, burst)
+
+    def update(
+        self,
+        own: Use,
+        peers: Mapping[str, Use],
+        silent: int,
+        now_s: float,
+    ) -> None:
+        """Takes what the peers have told.
+
+        Args:
+            own: Use of this VM that the peers know by now.
+            peers: Newest use of each peer, by VM or region and incarnation.
+            silent: Peers to reckon with that are not heard.
+            now_s: Monotonic time in seconds.
+        """
+        heard = len(peers) + 1
+        vms = heard + silent
+        self._heard_part = heard / vms
+        spent = own.admitted - self._own_told
+        self._own_told = own.admitted
+        for name, use in peers.items():
+            # What a peer admitted before it was first heard of is in the
+            # level that this VM started with.
+            known = self._peers.get(name, use.admitted)
+            spent += max(0, use.admitted - known)
+            self._peers[name] = use.admitted
+        self._refill(now_s)
+        floor = -self._burst - DEBT_MAX_S * self._rate
+        self._level = max(floor, self._level - spent)
+        self._even = 1.0 / vms
+        asked = own.asked_per_s + sum(u.asked_per_s for u in peers.values())
+        self._is_calm = asked <= (
+            CALM_DEMAND * self._rate + CALM_EXCESS_PER_S * self._excess
+        )
+        self._part = _part(own.asked_per_s, peers, silent)
+
+    def admit(self, now_s: float) -> float:
+        """Takes one request into account.
+
+        Returns:
+            0 if it may run, else the seconds until another one may.
+        """
+        self._refill(now_s)
+        pending = self._own - self._own_told
+        allowed = self._part * self._level
+        if self._is_calm and self._level >= CALM_LEVEL * self._burst:
+            fair = max(self._part, self._even) * self._level
+            spread = CALM_SPREAD * self._excess * self._even
+            allowed = max(CALM_LEAST, spread, CALM_FACTOR * fair)
+        if pending + 1 <= allowed:
+            self._own += 1
+            return 0.0
+        missing = 1.0 + max(0.0, -self._level)
+        return missing / max(1e-3, self._rate)
+
+    def give_back(self) -> None:
+        """Takes back a request that was admitted and did not run."""
+        if self._own > self._own_told:
+            self._own -= 1
+
+    def _refill(self, now_s: float) -> None:
+        """Adds what the time brings; VMs not heard from use their part."""
+        passed_s = max(0.0, now_s - self._at_s)
+        self._at_s = now_s
+        added = passed_s * self._rate * self._heard_part
+        self._level = min(self._burst, self._level + added)
+
+
+def _part(own_per_s: float, peers: Mapping[str, Use], silent: int) -> float:
+    """Returns the part of the level that a VM may use by itself."""
+    heard = len(peers) + 1
+    known = own_per_s + sum(use.asked_per_s for use in peers.values())
+    total = known + silent * known / heard
+    even = 1.0 / (heard + silent)
+    if total <= 0.0:
+        return even
+    return EVEN_PART * even + (1 - EVEN_PART) * own_per_s / total
--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,103 @@
+"""Limits of organisations over several VMs, on a virtual clock."""
+
+import random
+
+import pytest
+
+from bramleyworks.gateway import organisation
+from bramleyworks.gateway import quotas
+
+WINDOW_S = 5.0
+OVER = 0.1
+SLACK = 20.0
+TICK_S = 0.2
+
+
+def play(vms, limit, rate_at, seconds, lag_s=0.3, seed=1):
+    """Lets requests arrive at random VMs; returns (time, admitted) pairs.
+
+    Args:
+        vms: Number of VMs.
+        limit: Rate and burst of the organisation.
+        rate_at: Returns the requests per second at a time.
+        seconds: Length of the run.
+        lag_s: Age of what VMs know of each other.
+        seed: Seed of the arrivals.
+    """
+    rng = random.Random(seed)
+    now = [0.0]
+    org = organisation.Organisation(
+        "org", (), 1, float(limit), float(limit), frozenset()
+    )
+    fleet = [
+        quotas.Quotas(WINDOW_S, OVER, SLACK, lambda: now[0]) for _ in range(vms)
+    ]
+    for one in fleet:
+        one.prepare([org])
+    # Configurations come some seconds before the first request.
+    now[0] = 5.0
+    history = []
+    done = []
+    next_tick = now[0]
+    while now[0] < seconds + 5.0:
+        now[0] += rng.expovariate(rate_at(now[0]))
+        while next_tick <= now[0]:
+            history.append((next_tick, [q.use() for q in fleet]))
+            known = [h for h in history if h[0] <= next_tick - lag_s]
+            if known:
+                uses = {str(n): use for n, use in enumerate(known[-1][1])}
+                for number, one in enumerate(fleet):
+                    peers = {k: u for k, u in uses.items() if k != str(number)}
+                    one.share(peers, 0, lag_s)
+            next_tick += TICK_S
+        admitted = rng.choice(fleet).admit(org) == 0.0
+        done.append((now[0], admitted))
+    return done
+
+
+def worst_window(done):
+    """Returns the most admitted requests of any window."""
+    times = [at for at, admitted in done if admitted]
+    start = 0
+    worst = 0
+    for end, at in enumerate(times):
+        while at - times[start] > WINDOW_S:
+            start += 1
+        worst = max(worst, end - start + 1)
+    return worst
+
+
+def allowed(limit):
+    return (limit * WINDOW_S + limit) * (1 + OVER) + SLACK
+
+
+@pytest.mark.parametrize("vms", [1, 3, 9, 11, 80])
+@pytest.mark.parametrize("usual", [3.0, 12.0, 120.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_limit_holds_when_an_organisation_gets_hot(vms, usual, seed):
+    """Eight times the usual from one moment on, with a limit of 1.6 times."""
+    limit = 1.6 * usual
+    lag_s = 0.3 if vms < 20 else 0.7
+
+    def rate_at(now_s):
+        return usual if now_s < 15 else 8 * usual
+
+    done = play(vms, limit, rate_at, 25, lag_s, seed)
+    assert worst_window(done) <= allowed(limit)
+
+
+@pytest.mark.parametrize("vms", [1, 9, 11, 80])
+@pytest.mark.parametrize("usual", [3.0, 12.0, 120.0])
+def test_organisation_below_its_limit_is_hardly_refused(vms, usual):
+    seconds = max(60, 2000 / usual)
+    done = play(vms, 1.6 * usual, lambda _: usual, seconds, seed=5)
+    refused = sum(not admitted for _, admitted in done)
+    assert refused / len(done) <= 0.01
+
+
+def test_restarted_vm_does_not_spend_its_burst_again():
+    now = [0.0]
+    org = organisation.Organisation("org", (), 1, 10.0, 100.0, frozenset())
+    fresh = quotas.Quotas(WINDOW_S, OVER, SLACK, lambda: now[0])
+    admitted = sum(fresh.admit(org) == 0.0 for _ in range(500))
+    assert admitted <= 0.75 * 100 + SLACK
