Bound requests that find no room in their region; follow only fresh speakers

Ruled out: the ramp of the planned shares (it moves 7.5 in 100 in 2 s). Change: a speaker is followed only with an answer of the store in the last 1.5 s and a heartbeat in the last second; fallbacks are bounded by 0.4 of the allowed shift unless the region has just lost upstreams.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -474,7 +474,11 @@
         )
         for region in order:
             found, choice = self._choose_in(plan, by_region[region], demand)
-            if found is not None:
+            if found is not None and (
+                region == first
+                or plan.regions
+                or self._traffic.may_fall_back(plan.service)
+            ):
                 return found, choice
             if best.expected_s == 0.0:
                 best = choice
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 
@@ -174,6 +175,11 @@
         names.append(self._own.id)
         return rendezvous.rank(self._own.region, names)[:SPEAKERS]
 
+    def silence_s(self, vm_id: str) -> float:
+        """Returns the time since a peer was heard."""
+        heard = self._heard.get(vm_id)
+        return math.inf if heard is None else self._clock() - heard.at_s
+
     def tell_news(self) -> None:
         """Sends the next heartbeat soon."""
         self._has_news = True
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -34,9 +34,13 @@
 AWAY_S = 1.0
 # Time between two looks at what speakers know; they tell news at once.
 FOLLOW_S = 0.05
-# Age of a speaker's last answer from the store up to which it is followed: a
-# watch may last WATCH_S, and its answer may be some time on its way.
-SPEAKER_AGE_S = 3.0
+# Age of a speaker's last answer from the store, and time since its last
+# heartbeat, up to which it is followed. Both and the time to take over add up
+# to less than the time in which a configuration has to be in force.
+SPEAKER_AGE_S = 1.5
+SPEAKER_SILENCE_S = 1.0
+# Wait of a speaker's watch, after which its answer's age is new again.
+SPEAKER_WATCH_S = 1.0
 # Age that stands for "never", in heartbeats.
 MAX_AGE_S = 3600.0
 # Longest time of reading a peer's copy.
@@ -98,7 +102,9 @@
                 else:
                     await asyncio.sleep(GATHER_S)
                     revision, changes = await self._store.watch(
-                        "", self._mirror.revision, WATCH_S
+                        "",
+                        self._mirror.revision,
+                        WATCH_S if self._peers.is_flat else SPEAKER_WATCH_S,
                     )
                     self._answered()
                     self._mirror.apply(revision, self._hold(changes))
@@ -128,7 +134,9 @@
         if self._peers.is_flat or self._own_id in speakers:
             return False
         return any(
-            beat.vm.id in speakers and beat.store_age_s < SPEAKER_AGE_S
+            beat.vm.id in speakers
+            and beat.store_age_s < SPEAKER_AGE_S
+            and self._peers.silence_s(beat.vm.id) < SPEAKER_SILENCE_S
             for beat in self._peers.near()
         )
 
--- a/src/bramleyworks/gateway/traffic.py
+++ b/src/bramleyworks/gateway/traffic.py
@@ -1,6 +1,8 @@
 """Where the requests of this VM run, by region, and what they ask for."""
 
+import collections
 import dataclasses
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -16,6 +18,13 @@
 # Part of the bound that the plan uses; the rest is for the scatter of the
 # requests of one window.
 SHIFT_USE = 0.5
+# Part of the bound on shifts that requests may use which find no room in the
+# region they belong to.
+FALLBACK_USE = 0.4
+# Part of a region's slots below which a loss counts as such a change.
+CHANGED_PART = 0.9
+# Time after a change of a region's upstreams in which they are not bounded.
+CHANGE_S = 5.0
 # Weight of one answer in the estimate of a route's work.
 WORK_WEIGHT = 0.05
 # Work to assume for a route, as parts of its objective, until it is known: on
@@ -33,6 +42,14 @@
     pending_s: float = 0.0
     demand: float | None = None
     began: bool = False
+    requests: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    fallbacks: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    slots: dict[str, float] = dataclasses.field(default_factory=dict)
+    changed_s: float = -math.inf
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
     turn: weighted_turn.WeightedTurn = dataclasses.field(
         default_factory=weighted_turn.WeightedTurn
@@ -118,6 +135,7 @@
         state = self._service(service)
         state.pending_s += work_s
         state.began = True
+        state.requests.append(self._clock())
 
     def demand(self) -> dict[str, float]:
         """Returns the slots that this VM's requests would fill."""
@@ -150,7 +168,13 @@
         step = self._max_shift * SHIFT_USE * passed_s / SHIFT_WINDOW_S
         for name in services:
             state = self._service(name)
-            room = capacity(name)
+            room = dict(capacity(name))
+            if set(room) != set(state.slots) or any(
+                slots < CHANGED_PART * state.slots[region]
+                for region, slots in room.items()
+            ):
+                state.changed_s = now_s
+            state.slots = room
             self._measure(state, passed_s, part, sum(room.values()), vms)
             demand = dict(regional(name))
             own = demand.get(self._region, 0.0)
@@ -206,6 +230,25 @@
             )
         return state.turn.next(state.shares, allowed)
 
+    def may_fall_back(self, service: str) -> bool:
+        """Returns whether a request may leave the region it belongs to.
+
+        It counts as used if so. Requests that find no room would move to other
+        regions all at once when a region is full, and shift more than is
+        allowed; right after a loss of upstreams they may.
+        """
+        state = self._service(service)
+        now_s = self._clock()
+        for times in (state.requests, state.fallbacks):
+            while times and times[0] < now_s - SHIFT_WINDOW_S:
+                times.popleft()
+        if now_s - state.changed_s > CHANGE_S:
+            room = self._max_shift * FALLBACK_USE * len(state.requests)
+            if len(state.fallbacks) + 1 > room:
+                return False
+        state.fallbacks.append(now_s)
+        return True
+
     def _service(self, name: str) -> _Service:
         state = self._services.get(name)
         if state is None:
