--- a/src/bramleyworks/platform/store.py
+++ b/src/bramleyworks/adapters/store.py
@@ -2,8 +2,8 @@
 
 from typing import Protocol
 
-from bramleyworks.platform import store_entry
-from bramleyworks.platform import store_lease
+from bramleyworks.adapters import store_entry
+from bramleyworks.adapters import store_lease
 
 
 class Store(Protocol):
--- a/src/bramleyworks/platform/store_http.py
+++ b/src/bramleyworks/adapters/store_http.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from bramleyworks import errors
-from bramleyworks.platform import http_session
-from bramleyworks.platform import store_entry
-from bramleyworks.platform import store_lease
+from bramleyworks.adapters import http_session
+from bramleyworks.adapters import store_entry
+from bramleyworks.adapters import store_lease
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/src/bramleyworks/platform/vm_list.py
+++ b/src/bramleyworks/adapters/vm_list.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from bramleyworks import errors
-from bramleyworks.platform import http_session
-from bramleyworks.platform import listed_vm
+from bramleyworks.adapters import http_session
+from bramleyworks.adapters import listed_vm
 
 TIMEOUT_S = 1.5
 
--- a/src/bramleyworks/cli/apply_command.py
+++ b/src/bramleyworks/cli/apply_command.py
@@ -11,8 +11,8 @@
 from bramleyworks.cli import options
 from bramleyworks.cli import report
 from bramleyworks.cli import store_opening
-from bramleyworks.platform import acceptance
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import acceptance
+from bramleyworks.operations import config_writer
 
 
 @click.command()
--- a/src/bramleyworks/cli/audit_command.py
+++ b/src/bramleyworks/cli/audit_command.py
@@ -9,8 +9,8 @@
 from bramleyworks.cli import report
 from bramleyworks.cli import store_opening
 from bramleyworks.document import utc_time
-from bramleyworks.platform import audit_view
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import audit_view
+from bramleyworks.operations import config_writer
 
 
 @click.command()
--- a/src/bramleyworks/cli/diff_command.py
+++ b/src/bramleyworks/cli/diff_command.py
@@ -11,7 +11,7 @@
 from bramleyworks.document import diff as document_diff
 from bramleyworks.document import document
 from bramleyworks.document import review_warnings
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import config_writer
 
 
 @click.command()
--- a/src/bramleyworks/cli/exit_code.py
+++ b/src/bramleyworks/cli/exit_code.py
@@ -4,7 +4,7 @@
 import functools
 
 from bramleyworks import errors
-from bramleyworks.platform import apply_errors
+from bramleyworks.operations import apply_errors
 
 
 class ExitCode(enum.IntEnum):
--- a/src/bramleyworks/cli/report.py
+++ b/src/bramleyworks/cli/report.py
@@ -10,8 +10,8 @@
 from bramleyworks.document import history_entry
 from bramleyworks.document import problem
 from bramleyworks.document import utc_time
-from bramleyworks.platform import acceptance
-from bramleyworks.platform import apply_errors
+from bramleyworks.operations import acceptance
+from bramleyworks.operations import apply_errors
 
 
 @functools.singledispatch
--- a/src/bramleyworks/cli/status_command.py
+++ b/src/bramleyworks/cli/status_command.py
@@ -10,7 +10,7 @@
 from bramleyworks.cli import report
 from bramleyworks.cli import store_opening
 from bramleyworks.document import utc_time
-from bramleyworks.platform import fleet_status
+from bramleyworks.operations import fleet_status
 
 
 @click.command()
--- a/src/bramleyworks/cli/store_opening.py
+++ b/src/bramleyworks/cli/store_opening.py
@@ -2,8 +2,8 @@
 
 import contextlib
 
-from bramleyworks.platform import store
-from bramleyworks.platform import store_http
+from bramleyworks.adapters import store
+from bramleyworks.adapters import store_http
 
 
 def open_store(url: str) -> contextlib.AbstractAsyncContextManager[store.Store]:
--- a/src/bramleyworks/cli/validate_command.py
+++ b/src/bramleyworks/cli/validate_command.py
@@ -11,7 +11,7 @@
 from bramleyworks.cli import report
 from bramleyworks.cli import store_opening
 from bramleyworks.document import validation
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import config_writer
 
 
 @click.command()
--- a/src/bramleyworks/console/console_app.py
+++ b/src/bramleyworks/console/console_app.py
@@ -13,6 +13,7 @@
 from starlette.middleware import sessions
 
 from bramleyworks import errors
+from bramleyworks.adapters import store
 from bramleyworks.console import console_state
 from bramleyworks.console import draft_views
 from bramleyworks.console import drafts
@@ -20,7 +21,6 @@
 from bramleyworks.console import request_guard
 from bramleyworks.console import review_views
 from bramleyworks.console import status_views
-from bramleyworks.platform import store
 
 SESSION_S = 12 * 3600
 
--- a/src/bramleyworks/console/console_state.py
+++ b/src/bramleyworks/console/console_state.py
@@ -4,12 +4,12 @@
 
 from starlette import requests
 
+from bramleyworks.adapters import store
 from bramleyworks.console import draft
 from bramleyworks.console import drafts
 from bramleyworks.console import request_guard
 from bramleyworks.document import document
-from bramleyworks.platform import config_writer
-from bramleyworks.platform import store
+from bramleyworks.operations import config_writer
 
 
 @dataclasses.dataclass
--- a/src/bramleyworks/console/review_views.py
+++ b/src/bramleyworks/console/review_views.py
@@ -14,8 +14,8 @@
 from bramleyworks.console import request_guard
 from bramleyworks.document import review_warnings
 from bramleyworks.document import validation
-from bramleyworks.platform import apply_errors
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import apply_errors
+from bramleyworks.operations import config_writer
 
 
 async def review(request: requests.Request) -> responses.Response:
--- a/src/bramleyworks/console/status_views.py
+++ b/src/bramleyworks/console/status_views.py
@@ -6,9 +6,9 @@
 from bramleyworks import errors
 from bramleyworks.console import console_state
 from bramleyworks.console import pages
-from bramleyworks.platform import audit_view
-from bramleyworks.platform import config_writer
-from bramleyworks.platform import fleet_status
+from bramleyworks.operations import audit_view
+from bramleyworks.operations import config_writer
+from bramleyworks.operations import fleet_status
 
 ENTRIES_MAX = 300
 
--- a/src/bramleyworks/daemon/audit_task.py
+++ b/src/bramleyworks/daemon/audit_task.py
@@ -9,9 +9,9 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import store as store_module
 from bramleyworks.daemon import identity
 from bramleyworks.document import stored_config
-from bramleyworks.platform import store as store_module
 from bramleyworks.policy import audit_entry
 from bramleyworks.policy import audit_ring
 from bramleyworks.policy import fleet_view
--- a/src/bramleyworks/daemon/config_task.py
+++ b/src/bramleyworks/daemon/config_task.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import store
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import peer_link
 from bramleyworks.document import codec
@@ -20,7 +21,6 @@
 from bramleyworks.messages import config_delta
 from bramleyworks.messages import config_whole
 from bramleyworks.messages import pull_config
-from bramleyworks.platform import store
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import freshness
 from bramleyworks.policy import member_table
--- a/src/bramleyworks/daemon/daemon.py
+++ b/src/bramleyworks/daemon/daemon.py
@@ -9,6 +9,9 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import probe
+from bramleyworks.adapters import store_http
+from bramleyworks.adapters import vm_list
 from bramleyworks.daemon import api
 from bramleyworks.daemon import audit_task
 from bramleyworks.daemon import config_task
@@ -34,9 +37,6 @@
 from bramleyworks.daemon import ticketed
 from bramleyworks.document import client_block
 from bramleyworks.document import stored_config
-from bramleyworks.platform import probe
-from bramleyworks.platform import store_http
-from bramleyworks.platform import vm_list
 from bramleyworks.policy import block_table
 from bramleyworks.policy import entry
 from bramleyworks.policy import entry_vm
--- a/src/bramleyworks/daemon/ledger_task.py
+++ b/src/bramleyworks/daemon/ledger_task.py
@@ -8,10 +8,10 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import store as store_lib
 from bramleyworks.daemon import audit_sink
 from bramleyworks.daemon import identity
 from bramleyworks.document import stored_config
-from bramleyworks.platform import store as store_lib
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import ledger as ledger_lib
 from bramleyworks.policy import share_ledger
--- a/src/bramleyworks/daemon/member_task.py
+++ b/src/bramleyworks/daemon/member_task.py
@@ -8,13 +8,13 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import listed_vm
+from bramleyworks.adapters import vm_list
 from bramleyworks.daemon import heartbeat_builder
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import peer_link
 from bramleyworks.document import stored_config
 from bramleyworks.messages import heartbeat
-from bramleyworks.platform import listed_vm
-from bramleyworks.platform import vm_list
 from bramleyworks.policy import entry
 from bramleyworks.policy import entry_vm
 from bramleyworks.policy import fleet_view
--- a/src/bramleyworks/daemon/move_task.py
+++ b/src/bramleyworks/daemon/move_task.py
@@ -10,6 +10,9 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import store as store_module
+from bramleyworks.adapters import store_entry
+from bramleyworks.adapters import store_lease
 from bramleyworks.daemon import audit_sink
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import move_status
@@ -17,9 +20,6 @@
 from bramleyworks.document import move as move_module
 from bramleyworks.document import stored_config
 from bramleyworks.messages import version_cut
-from bramleyworks.platform import store as store_module
-from bramleyworks.platform import store_entry
-from bramleyworks.platform import store_lease
 from bramleyworks.policy import canary_stats
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import move
--- /dev/null
+++ b/src/bramleyworks/gateway/admission.py
@@ -0,0 +1,146 @@
+"""Finds what a request is and whether it may run."""
+
+from collections.abc import Callable
+
+import httptools
+
+from bramleyworks.gateway import intent as intent_module
+from bramleyworks.gateway import organisation as organisation_module
+from bramleyworks.gateway import plan as plan_module
+from bramleyworks.gateway import quotas as quotas_module
+from bramleyworks.gateway import refused
+from bramleyworks.gateway import request as request_module
+from bramleyworks.gateway import route as route_module
+from bramleyworks.gateway import trace as trace_module
+from bramleyworks.gateway import world as world_module
+from bramleyworks.platform import header_names
+from bramleyworks.policy import weighted_turn
+
+# Time of a request that is kept for sending the response.
+MARGIN_S = 0.01
+
+
+class Admission:
+    """Admits requests by route, key, rate and deadline."""
+
+    def __init__(
+        self,
+        world: world_module.World,
+        quotas: quotas_module.Quotas,
+        clock: Callable[[], float],
+    ):
+        """Takes the collaborators.
+
+        Args:
+            world: What the VM believes.
+            quotas: Rates of organisations.
+            clock: Monotonic time in seconds.
+        """
+        self._world = world
+        self._quotas = quotas
+        self._clock = clock
+        self._parts: dict[str, weighted_turn.WeightedTurn] = {}
+
+    def give_back(self, plan: plan_module.Plan) -> None:
+        """Takes back the rate that a request used which did not run."""
+        if plan.organisation is not None:
+            self._quotas.give_back(plan.organisation.name)
+
+    def admit(
+        self, req: request_module.Request, trace: trace_module.Trace
+    ) -> plan_module.Plan:
+        """Finds what a request is and whether it may run.
+
+        Raises:
+            refused.Refused: It may not.
+        """
+        intent = self._world.intent
+        if intent is None:
+            raise refused.Refused(503, "no configuration is known yet", 0.5)
+        url = httptools.parse_url(req.target)
+        path = url.path.decode("latin-1")
+        host = req.get(b"host").decode("latin-1").lower()
+        route = intent_module.find_route(intent, host, path)
+        if route is None:
+            raise refused.Refused(404, "no route matches")
+        trace.route = route.name
+        organisation = self._organisation(req, intent, route)
+        now_s = self._clock()
+        client_s = self._client_deadline_s(req, route)
+        regions = route.regions
+        priority = route.priority
+        if organisation is not None:
+            trace.organisation = organisation.name
+            if organisation.regions:
+                regions = (
+                    regions & organisation.regions
+                    if regions
+                    else organisation.regions
+                )
+                if not regions:
+                    raise refused.Refused(503, "no region may serve it")
+            if organisation.priority is not None:
+                priority = organisation.priority
+            wait_s = self._quotas.admit(organisation)
+            if wait_s > 0:
+                raise refused.Refused(
+                    429, "the organisation's rate is used up", wait_s
+                )
+        key = req.get(header_names.OBJECT_KEY)
+        plan = plan_module.Plan(
+            route=route,
+            service=self._part(route),
+            organisation=organisation,
+            request_id=req.get(header_names.REQUEST_ID) or b"",
+            object_key=(
+                f"{route.name}/{key.decode('latin-1')}"
+                if key and route.is_sticky
+                else ""
+            ),
+            deadline_s=min(client_s, req.received_s + route.timeout_s)
+            - MARGIN_S,
+            client_deadline_s=client_s,
+            objective_s=req.received_s + route.objective_s,
+            regions=regions,
+            priority=priority,
+        )
+        trace.service = plan.service
+        trace.object_key = plan.object_key
+        if plan.deadline_s <= now_s:
+            raise refused.Refused(503, "no time is left")
+        return plan
+
+    def _organisation(
+        self,
+        req: request_module.Request,
+        intent: intent_module.Intent,
+        route: route_module.Route,
+    ) -> organisation_module.Organisation | None:
+        if route.is_public or not intent.organisations:
+            return None
+        if req.count(header_names.KEY) > 1:
+            raise refused.Refused(400, "more than one key")
+        key = (req.get(header_names.KEY) or b"").decode("latin-1").strip()
+        name = intent.organisation_of_key.get(key)
+        if name is None:
+            raise refused.Refused(401, "the key is unknown")
+        return intent.organisations[name]
+
+    def _client_deadline_s(
+        self, req: request_module.Request, route: route_module.Route
+    ) -> float:
+        text = req.get(header_names.DEADLINE_MS)
+        if text is None:
+            return req.received_s + route.timeout_s
+        try:
+            return req.received_s + float(text) / 1000
+        except ValueError:
+            raise refused.Refused(400, "the deadline is no number") from None
+
+    def _part(self, route: route_module.Route) -> str:
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        key = f"{route.host}{route.prefix}"
+        turn = self._parts.setdefault(key, weighted_turn.WeightedTurn())
+        weights = {part.service: part.weight for part in route.parts}
+        return turn.next(weights) or route.parts[0].service
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -33,6 +33,8 @@
 MISSED_BEATS = 6
 # VMs of a region that speak for it.
 SPEAKERS = 2
+# Heartbeats of a speaker that may be lost before another one is believed.
+SPEAKER_MISSED = 2.5
 # Shortest time between two heartbeats that are sent because of news.
 NEWS_S = 0.05
 
@@ -128,9 +130,14 @@
         if region == self._own.region:
             return
         known = self._regions.get(region)
-        is_other = known is not None and known.beat.vm.id != heard.beat.vm.id
-        if is_other and self._is_fresh(known):
-            return
+        if known is not None and known.beat.vm.id != heard.beat.vm.id:
+            silent_s = self._clock() - known.at_s
+            is_silent = silent_s > SPEAKER_MISSED * self.interval_s
+            # A VM that has just started may speak for itself alone.
+            if not is_silent and (
+                heard.beat.speaks_for <= known.beat.speaks_for
+            ):
+                return
         self._regions[region] = heard
 
     def error_received(self, exc: Exception) -> None:
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -10,10 +10,10 @@
 from absl import logging
 
 from bramleyworks import errors
+from bramleyworks.adapters import http_session
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import mirror as mirror_module
 from bramleyworks.gateway import peers as peers_module
-from bramleyworks.platform import http_session
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import store_keys
--- /dev/null
+++ b/src/bramleyworks/gateway/trace.py
@@ -0,0 +1,26 @@
+"""The log line of a request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Trace:
+    """What is logged about a request when it ends.
+
+    Attributes:
+        route: Name of its route.
+        service: Service that it goes to.
+        organisation: Name of its organisation.
+        object_key: Object that it is about.
+        tried: What was expected of each attempt and how it ended.
+        status: Status of the response, 0 if there was none.
+        reason: Why the response is not an upstream's success.
+    """
+
+    route: str = "-"
+    service: str = "-"
+    organisation: str = "-"
+    object_key: str = ""
+    tried: list[dict] = dataclasses.field(default_factory=list)
+    status: int = 0
+    reason: str = ""
--- a/src/bramleyworks/platform/acceptance.py
+++ b/src/bramleyworks/operations/acceptance.py
@@ -10,8 +10,8 @@
 import result
 
 from bramleyworks import errors
-from bramleyworks.platform import daemon_status
-from bramleyworks.platform import http_session
+from bramleyworks.adapters import http_session
+from bramleyworks.operations import daemon_status
 
 POLL_S = 0.5
 
--- a/src/bramleyworks/platform/audit_log.py
+++ b/src/bramleyworks/operations/audit_log.py
@@ -1,6 +1,6 @@
 """Reader of the audit trail in the store."""
 
-from bramleyworks.platform import store as store_module
+from bramleyworks.adapters import store as store_module
 from bramleyworks.policy import audit_entry
 from bramleyworks.policy import audit_ring
 
--- a/src/bramleyworks/platform/audit_view.py
+++ b/src/bramleyworks/operations/audit_view.py
@@ -1,8 +1,8 @@
 """The audit trail together with the configuration changes."""
 
+from bramleyworks.adapters import store
 from bramleyworks.document import stored_config
-from bramleyworks.platform import audit_log
-from bramleyworks.platform import store
+from bramleyworks.operations import audit_log
 from bramleyworks.policy import audit_entry
 
 
--- a/src/bramleyworks/platform/config_writer.py
+++ b/src/bramleyworks/operations/config_writer.py
@@ -8,6 +8,8 @@
 import result
 
 from bramleyworks import errors
+from bramleyworks.adapters import store
+from bramleyworks.adapters import store_entry
 from bramleyworks.document import codec
 from bramleyworks.document import diff
 from bramleyworks.document import document
@@ -16,9 +18,7 @@
 from bramleyworks.document import stored_config
 from bramleyworks.document import validation
 from bramleyworks.document.rules import size_rules
-from bramleyworks.platform import apply_errors
-from bramleyworks.platform import store
-from bramleyworks.platform import store_entry
+from bramleyworks.operations import apply_errors
 from bramleyworks.policy import move_record
 
 MOVES_KEY = "moves"
--- a/src/bramleyworks/platform/fleet_status.py
+++ b/src/bramleyworks/operations/fleet_status.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from bramleyworks import errors
+from bramleyworks.adapters import store
 from bramleyworks.document import stored_config
-from bramleyworks.platform import acceptance
-from bramleyworks.platform import config_writer
-from bramleyworks.platform import daemon_status
-from bramleyworks.platform import store
+from bramleyworks.operations import acceptance
+from bramleyworks.operations import config_writer
+from bramleyworks.operations import daemon_status
 from bramleyworks.policy import move_record
 
 
--- a/src/bramleyworks/platform/__init__.py
+++ b/src/bramleyworks/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the services of the platform."""
+"""The platform's names, formats and calls, translated; nothing here decides."""
--- a/src/bramleyworks/platform/kv_store.py
+++ b/src/bramleyworks/platform/kv_store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bramleyworks import errors
-from bramleyworks.platform import http_session
+from bramleyworks.adapters import http_session
 from bramleyworks.platform import kv_item
 
 # Longest wait for an answer; the store answers in 4 ms, and 60 times as slowly
--- a/src/bramleyworks_lab/capacity/member_cost.py
+++ b/src/bramleyworks_lab/capacity/member_cost.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from bramleyworks.adapters import listed_vm
 from bramleyworks.messages import codec
-from bramleyworks.platform import listed_vm
 from bramleyworks.policy import freshness
 from bramleyworks.policy import relay_tree
 from bramleyworks_lab.capacity import cost
--- a/src/bramleyworks_lab/capacity/relay_model.py
+++ b/src/bramleyworks_lab/capacity/relay_model.py
@@ -4,13 +4,13 @@
 import dataclasses
 import random
 
+from bramleyworks.adapters import listed_vm
 from bramleyworks.daemon import config_task
 from bramleyworks.daemon import heartbeat_builder
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import member_task
 from bramleyworks.document import codec
 from bramleyworks.document import stored_config
-from bramleyworks.platform import listed_vm
 from bramleyworks.policy import member_table
 from bramleyworks_lab import model_network
 from bramleyworks_lab import model_store
--- a/src/bramleyworks_lab/experiment.py
+++ b/src/bramleyworks_lab/experiment.py
@@ -12,13 +12,13 @@
 import msgspec
 from absl import logging
 
+from bramleyworks.adapters import listed_vm
 from bramleyworks.daemon import identity
 from bramleyworks.document import codec
 from bramleyworks.document import document
 from bramleyworks.document import drain
 from bramleyworks.document import move
 from bramleyworks.document import stored_config
-from bramleyworks.platform import listed_vm
 from bramleyworks.policy import entry
 from bramleyworks.policy import site
 from bramleyworks_lab import callers
--- a/src/bramleyworks_lab/model_store.py
+++ b/src/bramleyworks_lab/model_store.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from bramleyworks import errors
-from bramleyworks.platform import store_entry
-from bramleyworks.platform import store_lease
+from bramleyworks.adapters import store_entry
+from bramleyworks.adapters import store_lease
 from bramleyworks_standins import store_data
 
 TIMEOUT_S = 1.5
--- a/src/bramleyworks_lab/model_vm.py
+++ b/src/bramleyworks_lab/model_vm.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from bramleyworks.adapters import listed_vm
 from bramleyworks.daemon import acquire_ask
 from bramleyworks.daemon import audit_task
 from bramleyworks.daemon import config_task
@@ -15,7 +16,6 @@
 from bramleyworks.daemon import probe_task
 from bramleyworks.daemon import slot
 from bramleyworks.daemon import slot_task
-from bramleyworks.platform import listed_vm
 from bramleyworks.policy import entry_vm
 from bramleyworks.policy import member_table
 from bramleyworks.policy import sample
--- a/src/bramleyworks_lab/model_world.py
+++ b/src/bramleyworks_lab/model_world.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from bramleyworks.platform import listed_vm
+from bramleyworks.adapters import listed_vm
 from bramleyworks_lab import deployment
 from bramleyworks_lab import model_network
 from bramleyworks_lab import model_store
--- a/tests/platform/test_probe.py
+++ b/tests/adapters/test_probe.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from bramleyworks.platform import probe
+from bramleyworks.adapters import probe
 from bramleyworks.policy import probe_reading
 
 GOOD = b'{"status": "ok", "busy": 2, "slots": 5, "version": "v1", "more": 1}'
--- a/tests/platform/test_store_http.py
+++ b/tests/adapters/test_store_http.py
@@ -10,7 +10,7 @@
 from support import ports
 
 from bramleyworks import errors
-from bramleyworks.platform import store_http
+from bramleyworks.adapters import store_http
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
--- a/tests/platform/test_vm_list.py
+++ b/tests/adapters/test_vm_list.py
@@ -7,8 +7,8 @@
 from support import ports
 
 from bramleyworks import errors
-from bramleyworks.platform import listed_vm
-from bramleyworks.platform import vm_list
+from bramleyworks.adapters import listed_vm
+from bramleyworks.adapters import vm_list
 
 
 async def test_change_shows_after_the_lag_and_outage_is_an_error(tmp_path):
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -18,9 +18,9 @@
 from bramleyworks.cli import store_opening
 from bramleyworks.document import codec
 from bramleyworks.document import new_key
-from bramleyworks.platform import acceptance
-from bramleyworks.platform import config_writer
-from bramleyworks.platform import daemon_status
+from bramleyworks.operations import acceptance
+from bramleyworks.operations import config_writer
+from bramleyworks.operations import daemon_status
 from bramleyworks.policy import audit_entry
 from bramleyworks.policy import audit_ring
 from bramleyworks.policy import move_record
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -21,7 +21,7 @@
 from bramleyworks.console import sections
 from bramleyworks.document import codec
 from bramleyworks.document import new_key
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import config_writer
 
 URL = "http://127.0.0.1:8090"
 
--- a/tests/daemon/test_audit_task.py
+++ b/tests/daemon/test_audit_task.py
@@ -11,7 +11,7 @@
 from bramleyworks import errors
 from bramleyworks.daemon import audit_task
 from bramleyworks.daemon import identity
-from bramleyworks.platform import audit_log
+from bramleyworks.operations import audit_log
 from bramleyworks.policy import audit_ring
 
 DRAW = hypothesis.settings(
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,89 @@
+"""The causes of three kinds of failed request, from the log lines alone."""
+
+import asyncio
+
+from support import platform_fleet
+
+
+def only(found):
+    (line,) = found
+    return line
+
+
+async def test_refusal_for_want_of_slots(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.operate({"op/config": platform_fleet.config(1)})
+        await fleet.add_upstream("u1", slots=1, work_ms=300)
+        vm = await fleet.add_vm()
+        answers = await asyncio.gather(*(fleet.ask(vm) for _ in range(12)))
+        refused = [a for a in answers if a[0] == 503]
+        await asyncio.sleep(0.3)
+        line = only(vm.requests(refused[0][3]))
+        print(line)
+    assert line["status"] == 503
+    assert line["tried"] == []
+    assert "has room" in line["reason"] and "s to wait" in line["reason"]
+    assert line["config"] == 1
+    assert line["organisation"] == "org-one"
+
+
+async def test_order_with_unknown_outcome(tmp_path):
+    async with platform_fleet.small(tmp_path, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        await fleet.upstream_fault("u1", "lost")
+        status, _, _, request_id = await fleet.ask(
+            vm, "/order/1", "POST", body=b"one"
+        )
+        await asyncio.sleep(0.3)
+        line = only(vm.requests(request_id))
+        print(line)
+    assert status == line["status"] == 502
+    tried = only(line["tried"])
+    assert tried["upstream"] == "u1"
+    assert tried["outcome"] == "failed"
+    assert "upstream.read" in tried["reason"]
+
+
+async def test_key_that_was_withdrawn(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        assert (await fleet.ask(vm))[0] == 200
+        await fleet.operate(
+            {"op/config": platform_fleet.config(6, keys=["key-two"])}
+        )
+        await asyncio.sleep(1.0)
+        status, _, _, request_id = await fleet.ask(vm)
+        await asyncio.sleep(0.3)
+        line = only(vm.requests(request_id))
+        in_force = [e for e in vm.events() if e["event"] == "config.in_force"]
+        print(line)
+        print(in_force[-1])
+    assert status == line["status"] == 401
+    assert line["reason"] == "the key is unknown"
+    assert line["config"] == in_force[-1]["version"] == 6
+    assert in_force[-1]["time"] <= line["time"]
+
+
+async def test_volume_is_bounded_and_what_is_left_out_is_counted(tmp_path):
+    async with platform_fleet.small(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        data = b"GET /nowhere/ HTTP/1.1\r\nHost: shop.example\r\n\r\n" * 16
+        for _ in range(60):
+            await fleet.raw(vm, data, 0.02)
+        await asyncio.sleep(1.2)
+        await fleet.ask(vm)
+        await asyncio.sleep(0.3)
+        events = vm.events()
+    written = [e for e in events if e["event"] == "request"]
+    dropped = sum(
+        e["lines"].get("request", 0)
+        for e in events
+        if e["event"] == "log.dropped"
+    )
+    assert len(written) + dropped >= 60 * 16
+    by_second = {}
+    for event in written:
+        second = int(event["time"])
+        by_second[second] = by_second.get(second, 0) + 1
+    # A second of the log's clock covers parts of two of the time of day.
+    assert max(by_second.values()) <= 2 * 200
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,52 @@
+"""Settings of an entry VM."""
+
+import pathlib
+import re
+
+from support import platform_fleet
+
+from bramleyworks.gateway import settings
+
+VALUES = {
+    "id": "vm1",
+    "region": "one",
+    "domain": "one-a",
+    "ip": "127.0.0.1",
+    "entry": 1,
+    "ready": 2,
+    "control": 3,
+    "directory": 4,
+    "peer": 5,
+    "metrics": 6,
+    "store": "127.0.0.1:7",
+}
+TEMPLATE = pathlib.Path(__file__).parents[2] / "deploy" / "vm.ini"
+
+
+def test_all_values():
+    text = platform_fleet.SETTINGS.format(**VALUES)
+    parsed = settings.parse(text, "test").unwrap()
+    assert parsed.regions == {"one-a": "one", "two-a": "two"}
+    assert parsed.entry == "127.0.0.1:1"
+    assert parsed.grace_s == 4
+
+
+def test_every_problem_is_named():
+    text = platform_fleet.SETTINGS.format(**VALUES)
+    text = text.replace("grace_s = 4", "grace_s = long")
+    text = text.replace("127.0.0.1:1", "nowhere")
+    text = re.sub("(?m)^id = .*$", "", text)
+    problems = settings.parse(text, "test").unwrap_err()
+    named = " ".join(p.reason for p in problems)
+    assert len(problems) == 3
+    for field in ("[limits] grace_s", "[listen] entry", "[vm] id"):
+        assert field in named
+
+
+def test_template_sets_every_field():
+    template = TEMPLATE.read_text()
+    for section, key, *_ in settings._FIELDS:
+        if section == "log":
+            continue
+        part = template.split(f"[{section}]")[1].split("\n[")[0]
+        assert re.search(rf"(?m)^{key} =", part), (section, key)
--- a/tests/platform/test_acceptance.py
+++ b/tests/operations/test_acceptance.py
@@ -9,8 +9,8 @@
 from support import virtual_clock
 
 from bramleyworks import errors
-from bramleyworks.platform import acceptance
-from bramleyworks.platform import daemon_status
+from bramleyworks.operations import acceptance
+from bramleyworks.operations import daemon_status
 
 
 def _status(vm, version, members=None, listed=("a", "b", "c")):
--- a/tests/platform/test_config_writer.py
+++ b/tests/operations/test_config_writer.py
@@ -11,8 +11,8 @@
 from bramleyworks import errors
 from bramleyworks.document import codec
 from bramleyworks.document import stored_config
-from bramleyworks.platform import apply_errors
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import apply_errors
+from bramleyworks.operations import config_writer
 from bramleyworks.policy import move_record
 
 NOW_S = sample_document.NOW_S
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,121 @@
+"""Decoding of what the platform's store holds."""
+
+import json
+
+import pytest
+from support import platform_fleet
+
+from bramleyworks.gateway import facts
+from bramleyworks.gateway import intent
+from bramleyworks.platform import kv_item
+from bramleyworks.platform import wire_config
+from bramleyworks.platform import wire_facts
+from bramleyworks.platform import wire_upstream
+
+ENTRY = {
+    "service": "desk",
+    "addr": "10.0.0.9:8080",
+    "zone": "one-a",
+    "version": "v1",
+    "slots": 5,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def config(**changes):
+    body = platform_fleet.config(12) | changes
+    return wire_config.decode(json.dumps(body).encode(), "store")
+
+
+def test_configuration():
+    decoded = config().unwrap()
+    assert decoded.version == 12
+    assert decoded.limits.header_timeout_s == 1.0
+    assert decoded.organisation_of_key == {platform_fleet.KEY: "org-one"}
+    found = intent.find_route(decoded, "shop.example", "/stock/7")
+    assert found.idempotent and not found.is_public
+    assert found.timeout_s == 1.5 and found.objective_s == 0.3
+    order = intent.find_route(decoded, "shop.example", "/order/")
+    assert not order.idempotent
+    assert intent.find_route(decoded, "shop.example", "/stock") is None
+    assert intent.find_route(decoded, "other.example", "/stock/7") is None
+
+
+def test_longest_prefix_wins():
+    rules = [
+        platform_fleet.rule("short", "safe", "/a/", "desk"),
+        platform_fleet.rule("long", "safe", "/a/b/", "desk"),
+        platform_fleet.rule("all", "safe", "/", "desk"),
+    ]
+    body = [{"host": "Shop.example", "rules": rules}]
+    decoded = config(listeners=body).unwrap()
+
+    def name(path):
+        return intent.find_route(decoded, "shop.example", path).name
+
+    assert name("/a/b/c") == "long"
+    assert name("/a/bc") == "short"
+    assert name("/x") == "all"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"version": 7},
+        {"listeners": None},
+        {"listeners": [{"rules": []}]},
+        {"clusters": [{"health_path": "/"}]},
+        {"tenants": [{"api_keys": []}]},
+        {"limits": {"max_header_bytes": "many"}},
+    ],
+)
+def test_wrong_configurations_are_refused(changes):
+    assert config(**changes).is_err()
+
+
+def test_unknown_fields_are_ignored():
+    assert config(news={"a": 1}).is_ok()
+
+
+def test_registration():
+    decoded = wire_upstream.decode("u1", json.dumps(ENTRY).encode()).unwrap()
+    assert (decoded.host, decoded.port) == ("10.0.0.9", 8080)
+    assert decoded.cold_left_s == 1.5
+    assert not decoded.is_draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"service": 4},
+        {"addr": "host:80"},
+        {"addr": "10.0.0.9"},
+        {"zone": ""},
+        {"slots": 0},
+        {"slots": True},
+        {"slots": "5"},
+        {"state": "dreaming"},
+        {"cold_left_ms": "soon"},
+        {"version": ["v1"]},
+    ],
+)
+def test_wrong_registrations_are_refused(changes):
+    raw = json.dumps(ENTRY | changes).encode()
+    assert wire_upstream.decode("u1", raw).is_err()
+
+
+@pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"[]", b"7", b"null"])
+def test_foreign_bytes_name_no_upstream(raw):
+    item = kv_item.KvItem("servers/u1", raw, 5)
+    assert wire_facts.decode(item) == facts.InstanceFact("u1", None, 5)
+    config_item = kv_item.KvItem("op/config", raw, 5)
+    assert wire_facts.decode(config_item) is None
+
+
+def test_keys_of_others_say_nothing():
+    assert wire_facts.decode(kv_item.KvItem("else/1", b"{}", 5)) is None
--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -10,8 +10,8 @@
 
 from bramleyworks.document import codec
 from bramleyworks.document import stored_config
-from bramleyworks.platform import apply_errors
-from bramleyworks.platform import config_writer
+from bramleyworks.operations import apply_errors
+from bramleyworks.operations import config_writer
 
 pytestmark = pytest.mark.asyncio(loop_scope="session")
 
--- a/tests/support/fake_daemon.py
+++ b/tests/support/fake_daemon.py
@@ -8,8 +8,8 @@
 from starlette import responses
 from starlette import routing
 
+from bramleyworks.adapters import store_http
 from bramleyworks.document import codec
-from bramleyworks.platform import store_http
 
 
 @click.command()
--- a/tests/support/fake_store.py
+++ b/tests/support/fake_store.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from bramleyworks import errors
-from bramleyworks.platform import store_entry
-from bramleyworks.platform import store_lease
+from bramleyworks.adapters import store_entry
+from bramleyworks.adapters import store_lease
 
 
 class FakeStore:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -18,10 +18,10 @@
 from support import ports
 
 from bramleyworks import errors
+from bramleyworks.adapters import http_session
+from bramleyworks.adapters import store_http
 from bramleyworks.document import codec
 from bramleyworks.document import stored_config
-from bramleyworks.platform import http_session
-from bramleyworks.platform import store_http
 
 READY_S = 15.0
 CALL_S = 15.0
--- a/tools/bench_forward.py
+++ b/tools/bench_forward.py
@@ -13,6 +13,7 @@
 import aiohttp
 import click
 
+from bramleyworks.adapters import store_http
 from bramleyworks.document import codec
 from bramleyworks.document import document
 from bramleyworks.document import key
@@ -22,7 +23,6 @@
 from bramleyworks.document import service
 from bramleyworks.document import stored_config
 from bramleyworks.document import upstream
-from bramleyworks.platform import store_http
 
 KEY = "benchmark-key"
 PORTS = {
