--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -35,6 +35,9 @@
 SPEAKERS = 2
 # Heartbeats of a speaker that may be lost before another one is believed.
 SPEAKER_MISSED = 2.5
+# Time between two summaries of a region. They cross regions, where bytes are
+# dear, and bound the age of what regions know of each other's requests.
+SUMMARY_S = 0.5
 # Shortest time between two heartbeats that are sent because of news.
 NEWS_S = 0.05
 
@@ -77,6 +80,7 @@
         self._summary = region_summary.RegionSummary()
         self._number = 0
         self._sent_s = 0.0
+        self._summary_s = -math.inf
         self._has_news = False
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -97,8 +101,9 @@
     @property
     def lag_s(self) -> float:
         """Time after which all VMs know what this one has told."""
-        hops = 1 if self.is_flat else 2
-        return hops * self.interval_s
+        if self.is_flat:
+            return self.interval_s
+        return self.interval_s + SUMMARY_S
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Keeps the socket."""
@@ -218,7 +223,10 @@
             if is_flat or vm.region == self._own.region
         }
         self._send_to(near or set(self._seeds), beat)
-        if not is_flat and self._own.id in self.speakers():
+        if is_flat or self._sent_s - self._summary_s < SUMMARY_S:
+            return
+        if self._own.id in self.speakers():
+            self._summary_s = self._sent_s
             summary = self._summary.build(beat, self.near())
             far = {
                 vm.peer for vm in vms.values() if vm.region != self._own.region
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from support import ports
 
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import exchange
@@ -18,7 +19,6 @@
 from bramleyworks.gateway import upstream
 from bramleyworks.gateway import world
 from bramleyworks.policy import placement
-from support import ports
 
 ROUTE = route.Route(
     "stock",
