Send a slot release again until its owner confirms it

Ruled out: asks of foreign owners (no slot was held by an unanswered ask), cancellations (a loan that comes after one is given back), a wrong count. Change: the owner confirms each release with SlotReturned, the borrower repeats it each 0.5 s until then or until the loan's end.

--- /dev/null
+++ b/src/bramleyworks/daemon/open_release.py
@@ -0,0 +1,20 @@
+"""A slot release that its owner has not confirmed."""
+
+import dataclasses
+
+from bramleyworks.messages import slot_release
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenRelease:
+    """A release that is sent again until it is confirmed.
+
+    Attributes:
+        msg: The release.
+        again_s: Monotonic time of the next try.
+        end_s: Monotonic time from which the owner takes the slot back itself.
+    """
+
+    msg: slot_release.SlotRelease
+    again_s: float
+    end_s: float
--- a/src/bramleyworks/daemon/slot_task.py
+++ b/src/bramleyworks/daemon/slot_task.py
@@ -1,6 +1,7 @@
 """Slots, queues, health, retry budgets and shifts of one daemon."""
 
 import asyncio
+import dataclasses
 import math
 import time
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from bramleyworks.daemon import identity
 from bramleyworks.daemon import link_limits
 from bramleyworks.daemon import message_link
+from bramleyworks.daemon import open_release
 from bramleyworks.daemon import slot
 from bramleyworks.daemon import slot_ledger
 from bramleyworks.daemon import slot_refusal
@@ -24,6 +26,7 @@
 from bramleyworks.messages import slot_loan
 from bramleyworks.messages import slot_refuse
 from bramleyworks.messages import slot_release
+from bramleyworks.messages import slot_returned
 from bramleyworks.policy import borrower
 from bramleyworks.policy import fleet_view
 from bramleyworks.policy import lender
@@ -61,6 +64,10 @@
 SHIFT_PROBE_REST_S = 0.1
 # A slot in another region stays idle while tokens for it are borrowed.
 LINK_TOKEN_WAIT_S = 0.05
+# A release is sent again after this, until its owner confirms it. An owner in
+# another region answers in about 0.1 s; a lost release keeps a slot idle for
+# the longest time that a request may run.
+RELEASE_REPEAT_S = 0.5
 
 
 class SlotTask:
@@ -101,7 +108,7 @@
         self._ramps: dict[str, shift_ramp.ShiftRamp] = {}
         # When a foreign owner may be asked though it reported no free slot.
         self._probe_from_s: dict[tuple[str, str], float] = {}
-        self._unsent: list[tuple[str, slot_release.SlotRelease, float]] = []
+        self._releases: dict[tuple[str, int], open_release.OpenRelease] = {}
         self._turn = 0
         self._seen_s = clock()
         self._hold_until_s = -math.inf
@@ -110,6 +117,7 @@
         link.register(slot_loan.SlotLoan, self._on_loan)
         link.register(slot_refuse.SlotRefuse, self._on_refuse)
         link.register(slot_release.SlotRelease, self._on_release)
+        link.register(slot_returned.SlotReturned, self._on_returned)
 
     # Requests.
 
@@ -257,7 +265,7 @@
         """Expires slots and queue entries until cancelled."""
         while True:
             self.tick()
-            idle = self._owner.is_idle() and not self._unsent
+            idle = self._owner.is_idle() and not self._releases
             await asyncio.sleep(IDLE_TICK_S if idle else TICK_S)
 
     def tick(self) -> None:
@@ -277,11 +285,7 @@
                 entry.item.entry = None
                 entry.item.wake()
         self._lender.forget(now_s)
-        if self._unsent:
-            pending, self._unsent = self._unsent, []
-            for owner, msg, end_s in pending:
-                if now_s < end_s and not self._link.send(owner, msg):
-                    self._unsent.append((owner, msg, end_s))
+        self._repeat_releases(now_s)
         self._grant_all(now_s)
 
     # Messages.
@@ -299,10 +303,16 @@
 
     def _on_release(self, sender: str, msg: slot_release.SlotRelease) -> None:
         now_s = self._enter()
+        self._send(sender, slot_returned.SlotReturned(msg.loan_id))
         use = self._lender.on_release(sender, msg, now_s)
         if use is not None:
             self._grant(use.pool, now_s)
 
+    def _on_returned(
+        self, sender: str, msg: slot_returned.SlotReturned
+    ) -> None:
+        self._releases.pop((sender, msg.loan_id), None)
+
     def _on_loan(self, sender: str, msg: slot_loan.SlotLoan) -> None:
         now_s = self._enter()
         arrival = self._borrower.on_loan(sender, msg, now_s)
@@ -814,8 +824,20 @@
             outcome is slot_outcome.SlotOutcome.FAILED,
             outcome is not slot_outcome.SlotOutcome.NEUTRAL,
         )
-        if not self._send(owner, msg):
-            self._unsent.append((owner, msg, end_s))
+        sent = self._send(owner, msg)
+        again_s = self._clock() + (RELEASE_REPEAT_S if sent else 0.0)
+        self._releases[owner, loan_id] = open_release.OpenRelease(
+            msg, again_s, end_s
+        )
+
+    def _repeat_releases(self, now_s: float) -> None:
+        for (owner, loan_id), known in list(self._releases.items()):
+            if now_s >= known.end_s:
+                del self._releases[owner, loan_id]
+            elif now_s >= known.again_s and self._send(owner, known.msg):
+                self._releases[owner, loan_id] = dataclasses.replace(
+                    known, again_s=now_s + RELEASE_REPEAT_S
+                )
 
     def _give_back_unused(self, owner: str, loan_id: int, now_s: float) -> None:
         self._give_back(
--- a/src/bramleyworks/messages/codec.py
+++ b/src/bramleyworks/messages/codec.py
@@ -14,6 +14,7 @@
 from bramleyworks.messages import slot_loan
 from bramleyworks.messages import slot_refuse
 from bramleyworks.messages import slot_release
+from bramleyworks.messages import slot_returned
 from bramleyworks.messages import ticket_handover
 from bramleyworks.messages import token_ask
 from bramleyworks.messages import token_grant
@@ -32,6 +33,7 @@
     | slot_loan.SlotLoan
     | slot_refuse.SlotRefuse
     | slot_release.SlotRelease
+    | slot_returned.SlotReturned
     | ticket_handover.TicketHandover
     | token_ask.TokenAsk
     | token_grant.TokenGrant
--- /dev/null
+++ b/src/bramleyworks/messages/slot_returned.py
@@ -0,0 +1,13 @@
+"""Receipt of a slot release."""
+
+import msgspec
+
+
+class SlotReturned(msgspec.Struct, frozen=True, tag="slot_returned"):
+    """The owner has taken a loan back, or had done so before.
+
+    Attributes:
+        loan_id: Id of the loan at the owner.
+    """
+
+    loan_id: int
--- a/tests/daemon/test_slot_task.py
+++ b/tests/daemon/test_slot_task.py
@@ -220,6 +220,24 @@
     run(test)
 
 
+def test_lost_release_does_not_keep_the_slot_idle():
+    async def test(world):
+        task = world.tasks["A1"]
+        own = task.try_acquire(world.ask())
+        lent = (await task.acquire(world.ask())).unwrap()
+        world.hold = True
+        task.release(lent, OK)
+        assert kinds(world) == [slot_release.SlotRelease]
+        world.held.clear()
+        world.hold = False
+        await asyncio.sleep(0.7)
+        assert world.used()["a2"] == 0
+        assert not task._releases, "the receipt ends the repeats"
+        task.release(own, OK)
+
+    run(test)
+
+
 def test_waiting_does_not_poll_without_need():
     async def test(world):
         task = world.tasks["A1"]
