Explain a request from collected logs; log attempts that never ended

Cause: the line of a request that ran out of time, or whose caller left, did not name the upstream that had it: the attempt was added to the line only when it had ended. Change: an attempt is in the line from its start, as `open` until its end. `bramleyworks explain REQUEST_ID LOGS...` prints for each VM that saw the request its decision, the attempts, the configuration in force, the last report of its state and the events of the 11 s before.

--- /dev/null
+++ b/src/bramleyworks/cli/log_files.py
@@ -0,0 +1,28 @@
+"""Reads collected log files of entry VMs."""
+
+import json
+import pathlib
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+
+def read(paths: Iterable[pathlib.Path]) -> Iterator[dict]:
+    """Yields the events in files and in the ``.log`` files of folders.
+
+    Lines that are no events, such as the traceback of an interpreter that
+    could not start, are passed over.
+    """
+    for path in paths:
+        files = sorted(path.rglob("*.log")) if path.is_dir() else [path]
+        for file in files:
+            with file.open(errors="replace") as lines:
+                yield from filter(None, map(_event, lines))
+
+
+def _event(line: str) -> dict | None:
+    try:
+        found = json.loads(line)
+    except ValueError:
+        return None
+    is_event = isinstance(found, dict) and {"time", "vm", "event"} <= set(found)
+    return found if is_event else None
--- a/src/bramleyworks/cli/main.py
+++ b/src/bramleyworks/cli/main.py
@@ -9,6 +9,7 @@
 from bramleyworks.cli import console_command
 from bramleyworks.cli import diff_command
 from bramleyworks.cli import exit_code
+from bramleyworks.cli import explain_command
 from bramleyworks.cli import key_command
 from bramleyworks.cli import options
 from bramleyworks.cli import report
@@ -57,6 +58,7 @@
 cli.add_command(apply_command.apply)
 cli.add_command(status_command.status)
 cli.add_command(audit_command.audit)
+cli.add_command(explain_command.explain)
 cli.add_command(key_command.key)
 cli.add_command(console_command.console)
 
--- a/src/bramleyworks/cli/report.py
+++ b/src/bramleyworks/cli/report.py
@@ -12,6 +12,7 @@
 from bramleyworks.document import utc_time
 from bramleyworks.operations import acceptance
 from bramleyworks.operations import apply_errors
+from bramleyworks.operations import explanation as explanation_lib
 
 
 @functools.singledispatch
@@ -77,3 +78,68 @@
     if found.missing:
         line += f"; missing: {', '.join(found.missing)}"
     return line
+
+
+def explanation(found: explanation_lib.Explanation) -> Iterable[str]:
+    """Yields what is known about a request, line by line."""
+    req = found.request
+    yield (
+        f"{utc_time.show(req['time'])} {req['vm']}: {req['route']} of"
+        f" {req['organisation']} to {req['service']}, object"
+        f" {req['object'] or '-'}: status {req['status']} after {req['ms']} ms"
+    )
+    if req["reason"]:
+        yield f"  reason: {req['reason']}"
+    if not req["tried"]:
+        yield "  sent to no upstream"
+    for number, attempt in enumerate(req["tried"], 1):
+        held = "held" if attempt["held"] else "not held"
+        yield (
+            f"  attempt {number}: {attempt['upstream']} {attempt['outcome']}"
+            f" ({attempt['reason']}) after {attempt['ms']} ms; load"
+            f" {attempt['load']}, object {held}, {attempt['expected_ms']} ms"
+            f" expected, {attempt['wait_ms']} ms of it to wait"
+        )
+    yield from _belief(found)
+    for event in found.events:
+        yield f"  {_age(found, event)}: {_event(event)}"
+    if found.left_out:
+        yield f"  {found.left_out} lines about requests were left out"
+
+
+def _belief(found: explanation_lib.Explanation) -> Iterable[str]:
+    version = found.request["config"]
+    if found.in_force is None:
+        yield f"  configuration {version}; when it came into force is not here"
+    else:
+        yield (
+            f"  configuration {version}, in force {_age(found, found.in_force)}"
+        )
+    if found.state is None:
+        return
+    store = "away" if found.state["store_away"] else "reached"
+    yield (
+        f"  {_age(found, found.state)}: store {store} at revision"
+        f" {found.state['revision']}, {found.state['peers']} peers"
+    )
+    for item in found.upstreams:
+        notes = ", excluded" * item.is_excluded + ", cold" * item.is_cold
+        yield (
+            f"    {item.name}: load {item.load}, {item.own} of them from this"
+            f" VM, slowness {item.slowness}{notes}"
+        )
+
+
+def _age(found: explanation_lib.Explanation, event: dict) -> str:
+    return f"{found.request['time'] - event['time']:.1f} s before"
+
+
+def _event(event: dict) -> str:
+    if event["event"] == "process":
+        return event["message"]
+    fields = (
+        f"{name}={value}"
+        for name, value in event.items()
+        if name not in ("time", "vm", "event")
+    )
+    return " ".join([event["event"], *fields])
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -153,23 +153,18 @@
             ):
                 break
             tried.add(upstream.instance.id)
-            load = upstream.load()
             began_s = self._clock()
-            last = await self._attempt(
-                req, res, plan, upstream, choice, body, trace
-            )
-            trace.tried.append(
-                {
-                    "upstream": upstream.instance.id,
-                    "outcome": last.verdict.value,
-                    "reason": last.reason,
-                    "load": round(load, 1),
-                    "held": choice.is_warm,
-                    "expected_ms": round(choice.expected_s * 1000),
-                    "wait_ms": round(choice.wait_s * 1000),
-                    "ms": round((self._clock() - began_s) * 1000),
-                }
-            )
+            # The entry stays open if the caller leaves or the time is over.
+            entry = trace_module.attempt(upstream, choice)
+            trace.tried.append(entry)
+            try:
+                last = await self._attempt(
+                    req, res, plan, upstream, choice, body, trace
+                )
+                entry["outcome"] = last.verdict.value
+                entry["reason"] = last.reason
+            finally:
+                entry["ms"] = round((self._clock() - began_s) * 1000)
             if last.verdict is attempt_outcome.Verdict.ANSWERED:
                 return
             kept = last.kept or kept
--- a/src/bramleyworks/gateway/trace.py
+++ b/src/bramleyworks/gateway/trace.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+from bramleyworks.gateway import upstream as upstream_module
+from bramleyworks.policy import placement
+
+OPEN = "open"
+
 
 @dataclasses.dataclass(slots=True)
 class Trace:
@@ -24,3 +29,19 @@
     tried: list[dict] = dataclasses.field(default_factory=list)
     status: int = 0
     reason: str = ""
+
+
+def attempt(
+    upstream: upstream_module.Upstream, choice: placement.Choice
+) -> dict:
+    """Returns the entry of an attempt that begins."""
+    return {
+        "upstream": upstream.instance.id,
+        "outcome": OPEN,
+        "reason": "no complete answer",
+        "load": round(upstream.load(), 1),
+        "held": choice.is_warm,
+        "expected_ms": round(choice.expected_s * 1000),
+        "wait_ms": round(choice.wait_s * 1000),
+        "ms": 0,
+    }
--- /dev/null
+++ b/src/bramleyworks/operations/explanation.py
@@ -0,0 +1,120 @@
+"""Finds what the logs of entry VMs say about one request.
+
+Pure functions over decoded log lines; ``docs/OPERATIONS.md`` lists the events.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+# Events this long before a request may have decided it: the longest bound of
+# the platform after which a change must be in force is 5 s, stretched by 6 s.
+CONTEXT_S = 11.0
+LEFT_OUT = "log.dropped"
+# Shown apart, or about other requests.
+_NO_CONTEXT = frozenset({"request", "state", "config.in_force", LEFT_OUT})
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamState:
+    """What a VM believed of an upstream.
+
+    Attributes:
+        name: Its id.
+        load: Requests there, told and own, in requests.
+        slowness: Its latency as a multiple of the usual one.
+        own: Requests of this VM there.
+        is_excluded: Whether it got trial requests only.
+        is_cold: Whether it was cold.
+    """
+
+    name: str
+    load: float
+    slowness: float
+    own: int
+    is_excluded: bool
+    is_cold: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """One line about a request and what its VM believed at that time.
+
+    Attributes:
+        request: The line, as it was logged.
+        in_force: The last line of that VM that put a configuration in force.
+        state: The last report of its state before the request ended.
+        upstreams: The upstreams in that report that the request was sent to,
+            or all if it was sent nowhere.
+        events: Other lines of that VM shortly before, oldest first.
+        left_out: Lines about requests that the VM left out in that time.
+    """
+
+    request: dict
+    in_force: dict | None
+    state: dict | None
+    upstreams: tuple[UpstreamState, ...]
+    events: tuple[dict, ...]
+    left_out: int
+
+
+def explain(lines: Iterable[dict], request_id: str) -> list[Explanation]:
+    """Returns one explanation for each line about a request.
+
+    Args:
+        lines: Log lines of all VMs in any order.
+        request_id: Id that the caller gave the request.
+
+    Returns:
+        Explanations in the order of time; none if no VM logged the request.
+    """
+    ordered = sorted(lines, key=lambda line: line["time"])
+    found = [
+        line
+        for line in ordered
+        if line["event"] == "request" and line["id"] == request_id
+    ]
+    return [_explain(ordered, line) for line in found]
+
+
+def _explain(ordered: list[dict], request: dict) -> Explanation:
+    before = [
+        line
+        for line in ordered
+        if line["vm"] == request["vm"] and line["time"] <= request["time"]
+    ]
+    since_s = request["time"] - request["ms"] / 1000 - CONTEXT_S
+    recent = [line for line in before if line["time"] >= since_s]
+    state = _last(before, "state")
+    return Explanation(
+        request=request,
+        in_force=_last(before, "config.in_force"),
+        state=state,
+        upstreams=_upstreams(state, request),
+        events=tuple(
+            line for line in recent if line["event"] not in _NO_CONTEXT
+        ),
+        left_out=sum(
+            line["lines"].get("request", 0)
+            for line in recent
+            if line["event"] == LEFT_OUT
+        ),
+    )
+
+
+def _last(lines: list[dict], event: str) -> dict | None:
+    return next(
+        (line for line in reversed(lines) if line["event"] == event), None
+    )
+
+
+def _upstreams(state: dict | None, request: dict) -> tuple[UpstreamState, ...]:
+    if state is None:
+        return ()
+    tried = {attempt["upstream"] for attempt in request["tried"]}
+    return tuple(
+        UpstreamState(name, load, slowness, own, bool(out), bool(cold))
+        for name, (load, slowness, own, out, cold) in sorted(
+            state["upstreams"].items()
+        )
+        if not tried or name in tried
+    )
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -2,8 +2,21 @@
 
 import asyncio
 
+from click import testing
 from support import platform_fleet
 
+from bramleyworks.cli import main
+
+
+def explained(folder, request_id):
+    """Returns what ``bramleyworks explain`` prints."""
+    ran = testing.CliRunner().invoke(
+        main.cli, ["explain", request_id, str(folder)]
+    )
+    assert ran.exit_code == 0, ran.output
+    print(ran.output)
+    return ran.output
+
 
 def only(found):
     (line,) = found
@@ -20,6 +33,9 @@
         await asyncio.sleep(0.3)
         line = only(vm.requests(refused[0][3]))
         print(line)
+        text = explained(tmp_path, refused[0][3])
+    assert "reason: no upstream of desk has room" in text
+    assert "sent to no upstream" in text
     assert line["status"] == 503
     assert line["tried"] == []
     assert "has room" in line["reason"] and "s to wait" in line["reason"]
@@ -37,6 +53,8 @@
         await asyncio.sleep(0.3)
         line = only(vm.requests(request_id))
         print(line)
+        text = explained(tmp_path, request_id)
+    assert "attempt 1: u1 failed (upstream.read" in text
     assert status == line["status"] == 502
     tried = only(line["tried"])
     assert tried["upstream"] == "u1"
@@ -58,12 +76,31 @@
         in_force = [e for e in vm.events() if e["event"] == "config.in_force"]
         print(line)
         print(in_force[-1])
+        text = explained(tmp_path, request_id)
+    assert "reason: the key is unknown" in text
+    assert "configuration 6, in force" in text
     assert status == line["status"] == 401
     assert line["reason"] == "the key is unknown"
     assert line["config"] == in_force[-1]["version"] == 6
     assert in_force[-1]["time"] <= line["time"]
 
 
+async def test_upstream_of_a_request_that_ran_out_of_time(tmp_path):
+    async with platform_fleet.small(tmp_path, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        await fleet.upstream_fault("u1", "silent")
+        status, _, _, request_id = await fleet.ask(
+            vm, "/order/1", "POST", body=b"one", deadline_ms=400
+        )
+        await asyncio.sleep(0.3)
+        line = only(vm.requests(request_id))
+        text = explained(tmp_path, request_id)
+    assert status == line["status"] == 504
+    assert only(line["tried"])["upstream"] == "u1"
+    assert only(line["tried"])["ms"] >= 300
+    assert "attempt 1: u1 open (no complete answer)" in text
+
+
 async def test_volume_is_bounded_and_what_is_left_out_is_counted(tmp_path):
     async with platform_fleet.small(tmp_path) as fleet:
         vm = fleet.vms[0]
