Do not hold up a stop for a store that does not answer

Cause: the stop waited for the end of the registration first. With a silent store idle connections closed 1.5 s later than planned, and callers used them meanwhile. Ruled out: the front server (it closes them at once when told). Change: the registration ends beside the stop.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -252,7 +252,9 @@
         self._log.write("stop", running=self._exchanges.running)
         self._exchanges.is_draining = True
         self._peers.send()
-        await self._registration.withdraw()
+        # A store that does not answer must not hold up the stop.
+        withdrawal = asyncio.create_task(self._registration.withdraw())
+        self._stack.callback(withdrawal.cancel)
         closed = listening = False
         while True:
             now_s = self._clock()
--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -227,6 +227,26 @@
     assert not [key for key in rows if key.startswith("bw/vm/")]
 
 
+async def test_silent_store_does_not_hold_up_a_stop(tmp_path):
+    async with platform_fleet.small(tmp_path, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        reader, writer = await asyncio.open_connection(
+            vm.ip, vm.values["entry"]
+        )
+        writer.write(
+            b"GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Bramleyworks-Attempt-Id: idle-1\r\nX-Api-Key: key-one\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        await fleet.store_faults({"*": "silent"})
+        vm.process.terminate()
+        # The idle connection ends 0.5 s after the signal.
+        async with asyncio.timeout(1.0):
+            await reader.read()
+        writer.close()
+        assert vm.process.wait(4.0) == 0
+
+
 async def test_directory_names_live_vms_of_the_region(tmp_path):
     async with platform_fleet.Fleet(tmp_path) as fleet:
         await fleet.operate({"op/config": platform_fleet.config(1)})
