Add a fault soak of real processes behind loopback proxies

Change: tests/soak starts three entry VMs, upstreams and the store as processes and draws from a seed: pauses, kills, stops and reloads of VMs, in turn and overlapping; links to store, upstreams and callers that delay, reset, fall silent or hold one way; a store that is busy, silent, loses answers or history; upstreams that fail in eleven ways, pause, die, drain or leave their address to another; configurations, keys, evacuations and moves. Ruled out while building it: requests of the run's end and a paused VM's SIGTERM counted as late (the harness), a pipelined answer behind a slow one.

--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import sys
+import time
 
 QUEUE_FACTOR = 3
 ID = "x-bramleyworks-attempt-id"
@@ -116,15 +117,17 @@
             self._waiting -= 1
         self._running += 1
         try:
-            self.runs.append(
-                {
-                    "id": req["headers"].get(ID),
-                    "target": req["target"],
-                    "method": req["method"],
-                    "body": req["body"],
-                    "headers": req["headers"],
-                }
-            )
+            run = {
+                "id": req["headers"].get(ID),
+                "target": req["target"],
+                "method": req["method"],
+                "body": req["body"],
+                "headers": req["headers"],
+                "at_s": time.monotonic(),
+            }
+            self.runs.append(run)
+            # Tests read what ran before a kill from the output.
+            print(json.dumps(run), flush=True)
             slow = 8 if self.fault == "slow" else 1
             await asyncio.sleep(slow * self.work_s)
         finally:
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,120 @@
+"""Faults of one run, drawn from its seed."""
+
+import dataclasses
+import random
+
+# The last second starts no fault, so that each has time to show.
+QUIET_END_S = 1.0
+LONG_S = 8.0
+ONCE = ("evacuate", "move")
+MOVES = ("good", "bad")
+HOLDS = ("hold_up", "hold_down", "hold_both")
+UPSTREAM_FAULTS = (
+    "silent",
+    "shed",
+    "reset",
+    "slow",
+    "error",
+    # Those after which an order has run are drawn more often.
+    "lost",
+    "lost",
+    "truncated",
+    "truncated",
+    "unframed",
+    "unsigned",
+    "extra",
+    "extra_late",
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault or change.
+
+    Attributes:
+        at_s: Seconds from the start of traffic.
+        for_s: How long it lasts; 0 for what happens at one moment.
+        kind: What happens.
+        target: Name of the VM, upstream or link, empty for the store.
+        how: Variant of the kind.
+    """
+
+    at_s: float
+    for_s: float
+    kind: str
+    target: str = ""
+    how: str = ""
+
+
+def draw(seed, vms, upstreams, length_s):
+    """Returns the faults of a seed in the order of their start.
+
+    Each third seed is calm, with a few faults far apart, so that the promises
+    that hold only for VMs in touch are checked as well.
+    """
+    rng = random.Random(seed)
+    count = rng.randint(2, 3) if seed % 3 == 0 else rng.randint(8, 20)
+    faults = []
+    kinds = set()
+    while len(faults) < count:
+        at_s = rng.uniform(0.5, length_s - QUIET_END_S)
+        for_s = min(rng.choice((0.3, 1.0, 2.0, 4.0)), length_s - at_s)
+        drawn = _one(rng, at_s, for_s, vms, upstreams)
+        if drawn[0].kind in ONCE and drawn[0].kind in kinds:
+            continue
+        kinds.add(drawn[0].kind)
+        faults += drawn
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _one(rng, at_s, for_s, vms, upstreams):
+    vm = rng.choice(vms)
+    upstream = rng.choice(upstreams)
+    link = rng.choice(
+        [f"store:{vm}", f"caller:{vm}", *[f"upstream:{upstream}"] * 2],
+    )
+    kind = rng.choice(
+        (
+            "vm_pause",
+            "vm_kill",
+            "vm_stop",
+            "vm_reload",
+            "all_stopped_in_turn",
+            "link_delay",
+            "link_reset",
+            "link_silence",
+            "link_hold",
+            "store_fault",
+            "store_pause",
+            "store_compact",
+            "upstream_fault",
+            "upstream_fault",
+            "upstream_pause",
+            "upstream_kill",
+            "upstream_replace",
+            "upstream_drain",
+            "config",
+            "config",
+            "evacuate",
+            "move",
+        )
+    )
+    if kind == "all_stopped_in_turn":
+        step_s = min(2.0, for_s)
+        return [
+            Fault(at_s + step_s * n, 0.0, "vm_stop", name)
+            for n, name in enumerate(vms)
+        ]
+    if kind in ONCE:
+        # Long enough to be checked; two of them would overlap.
+        return [
+            Fault(rng.uniform(0.5, 2.0), LONG_S, kind, "", rng.choice(MOVES))
+        ]
+    target, how = {
+        "vm": (vm, ""),
+        "link": (link, rng.choice(HOLDS)),
+        "store": ("", rng.choice(("busy", "many", "silent", "lost"))),
+        "upstream": (upstream, rng.choice(UPSTREAM_FAULTS)),
+        "config": ("", ""),
+    }[kind.partition("_")[0]]
+    return [Fault(at_s, for_s, kind, target, how)]
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,108 @@
+"""One soak run: callers, faults and the check of the promises."""
+
+import asyncio
+import contextlib
+import time
+
+from soak import caller
+from soak import fleet as soak_fleet
+from soak import plan
+from soak import promises
+from soak import record
+from support import platform_fleet
+
+LENGTH_S = 12.0
+CALLERS_PER_VM = 6
+# ``recover_s`` of the site files.
+RECOVER_S = 15.0
+RECOVER_WINDOW_S = 1.0
+RECOVER_SHARE = 0.9
+RECOVER_REQUESTS = 10
+# Requests that were refused must not run later either.
+SETTLE_S = 2.5
+
+
+async def soak(seed, folder, length_s=LENGTH_S):
+    """Runs one seed.
+
+    Args:
+        seed: Decides faults and requests.
+        folder: Where the processes log.
+        length_s: Seconds in which faults begin.
+
+    Returns:
+        The faults, the record and a line for each broken promise.
+    """
+    faults = plan.draw(
+        seed,
+        [name for name, _ in soak_fleet.VMS],
+        [name for name, _ in soak_fleet.UPSTREAMS],
+        length_s,
+    )
+    rec = record.Record()
+    async with contextlib.AsyncExitStack() as stack:
+        processes = await stack.enter_async_context(
+            platform_fleet.Fleet(folder)
+        )
+        fleet = soak_fleet.SoakFleet(folder, processes, rec)
+        stack.push_async_callback(fleet.close)
+        await fleet.start()
+        callers = [
+            asyncio.create_task(_caller(seed, fleet, vm, number).run())
+            for vm, _ in soak_fleet.VMS
+            for number in range(CALLERS_PER_VM)
+        ]
+        await _play(fleet, faults)
+        rec.recovered = await _recovers(rec)
+        for task in callers:
+            task.cancel()
+        ended = await asyncio.gather(*callers, return_exceptions=True)
+        for exc in ended:
+            if not isinstance(exc, asyncio.CancelledError):
+                raise RuntimeError("a caller failed") from exc
+        for sent in rec.sent:
+            sent.given_up = sent.given_up or not sent.done_s
+        await asyncio.sleep(SETTLE_S)
+        rec.runs = fleet.runs()
+    return faults, rec, promises.broken(rec)
+
+
+def _caller(seed, fleet, vm, number):
+    return caller.Caller(
+        f"s{seed}-{vm}-{number}",
+        vm,
+        fleet.links[f"caller:{vm}"].address,
+        fleet.rec,
+        lambda: fleet.newest if fleet.newest in fleet.rec.configs else 1,
+        lambda: fleet.starts[vm],
+    )
+
+
+async def _play(fleet, faults):
+    begin_s = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        for fault in faults:
+            await asyncio.sleep(begin_s + fault.at_s - time.monotonic())
+            group.create_task(fleet.do(fault))
+    await fleet.end_faults()
+
+
+async def _recovers(rec):
+    """Waits until each VM serves nearly all requests."""
+    end_s = time.monotonic() + RECOVER_S
+    while time.monotonic() < end_s:
+        await asyncio.sleep(RECOVER_WINDOW_S / 2)
+        now_s = time.monotonic()
+        served = {name: [] for name, _ in soak_fleet.VMS}
+        for sent in reversed(rec.sent):
+            if sent.sent_s < now_s - 2 * RECOVER_WINDOW_S:
+                break
+            if sent.sent_s < now_s - RECOVER_WINDOW_S and not sent.given_up:
+                served[sent.vm].append(sent.status == 200)
+        if all(
+            len(results) >= RECOVER_REQUESTS
+            and sum(results) >= RECOVER_SHARE * len(results)
+            for results in served.values()
+        ):
+            return True
+    return False
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -166,7 +166,10 @@
     async def __aenter__(self):
         self.http = await self._stack.enter_async_context(
             aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=5), auto_decompress=False
+                timeout=aiohttp.ClientTimeout(total=5),
+                auto_decompress=False,
+                # The stand-ins close idle connections.
+                connector=aiohttp.TCPConnector(force_close=True),
             )
         )
         self.store_process = self._start(
@@ -226,10 +229,16 @@
         }
 
     async def add_upstream(
-        self, name, slots=4, work_ms=20, domain="one-a", **fields
+        self,
+        name,
+        slots=4,
+        work_ms=20,
+        domain="one-a",
+        address=None,
+        **fields,
     ):
         """Starts an upstream and registers it."""
-        address = f"127.0.0.1:{ports.free_port()}"
+        address = address or f"127.0.0.1:{ports.free_port()}"
         process = self._start(
             name,
             "bramleyworks_standins.slot_server",
@@ -273,7 +282,7 @@
             found += [run | {"upstream": name} for run in status["runs"]]
         return found
 
-    async def add_vm(self, region="one", wait=True):
+    async def add_vm(self, region="one", wait=True, store=None):
         number = len(self.vms) + 1
         ip = f"127.0.1.{number}"
         name = f"vm{number}"
@@ -282,7 +291,7 @@
             "region": region,
             "domain": f"{region}-a",
             "ip": ip,
-            "store": self.store,
+            "store": store or self.store,
         }
         path = self._folder / f"{name}.ini"
         path.write_text(SETTINGS.format(**values))
