Keep one settings reader, one body buffer and one list of hop-by-hop fields

Cause: the daemon and the gateway each had a copy of the three. Change: ini.py reads settings for both, so that unknown settings of an entry VM are refused as well; body_buffer.py carries bodies both ways; http_fields.py names the fields of one connection. The link's bandwidth is a setting of an entry VM. Measured: tests of gateway, daemon and document pass; no behaviour of the request path changes.

--- a/src/bramleyworks/daemon/headers.py
+++ b/src/bramleyworks/daemon/headers.py
@@ -2,19 +2,8 @@
 
 import multidict
 
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
+from bramleyworks import http_fields
+
 KEY_HEADERS = frozenset((b"authorization", b"x-api-key"))
 # Values that only this system may set.
 RESERVED = frozenset(
@@ -26,7 +15,9 @@
         b"x-outcome",
     )
 )
-_NOT_FORWARDED = HOP_BY_HOP | KEY_HEADERS | RESERVED | {b"host", b"expect"}
+_NOT_FORWARDED = (
+    http_fields.HOP_BY_HOP | KEY_HEADERS | RESERVED | {b"host", b"expect"}
+)
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -78,7 +69,7 @@
 def to_caller(raw: tuple[tuple[bytes, bytes], ...]) -> RawHeaders:
     """Returns the end-to-end headers of an upstream's answer."""
     lowered = [(name.lower(), value) for name, value in raw]
-    dropped = HOP_BY_HOP | RESERVED | _named_by_connection(lowered)
+    dropped = http_fields.HOP_BY_HOP | RESERVED | _named_by_connection(lowered)
     return [item for item in lowered if item[0] not in dropped]
 
 
--- a/src/bramleyworks/daemon/relay.py
+++ b/src/bramleyworks/daemon/relay.py
@@ -8,9 +8,9 @@
 import aiohttp
 import multidict
 
+from bramleyworks import http_fields
 from bramleyworks.daemon import answer
 from bramleyworks.daemon import call
-from bramleyworks.daemon import headers
 from bramleyworks.daemon import identity
 from bramleyworks.policy import ticket_step
 
@@ -64,7 +64,7 @@
         """
         outgoing: multidict.CIMultiDict[str] = multidict.CIMultiDict()
         for name, value in item.scope["headers"]:
-            if name not in headers.HOP_BY_HOP and name != b"host":
+            if name not in http_fields.HOP_BY_HOP and name != b"host":
                 outgoing.add(name.decode("latin-1"), value.decode("latin-1"))
         outgoing["X-Forwarded-By"] = self._me.vm_id
         async with asyncio.timeout(item.deadline_s - self._clock()):
--- a/src/bramleyworks/daemon/settings.py
+++ b/src/bramleyworks/daemon/settings.py
@@ -1,14 +1,13 @@
 """Settings of the daemon, read from an INI file."""
 
-import configparser
 import dataclasses
 import ipaddress
 import urllib.parse
-from collections.abc import Callable
 
 import result
 
 from bramleyworks import errors
+from bramleyworks import ini
 
 DEFAULT_DRAIN_S = 40.0
 DEFAULT_HEADER_BYTES = 16 * 1024
@@ -97,27 +96,24 @@
     return text
 
 
-_REQUIRED = object()
-
-# Section, key, field of Settings, parser and default.
-_FIELDS: tuple[tuple[str, str, str, Callable, object], ...] = (
-    ("vm", "id", "vm_id", _vm_id, _REQUIRED),
-    ("vm", "region", "region", _name, _REQUIRED),
-    ("vm", "failure_domain", "failure_domain", _name, _REQUIRED),
-    ("listen", "http", "http", _address, _REQUIRED),
-    ("listen", "peer", "peer", _address, _REQUIRED),
-    ("store", "url", "store_url", _url, _REQUIRED),
-    ("vm_list", "url", "vm_list_url", _url, _REQUIRED),
-    ("seeds", "peers", "seeds", _addresses, ()),
-    ("limits", "drain_s", "drain_s", _seconds, DEFAULT_DRAIN_S),
-    (
+_FIELDS = (
+    ini.Field("vm", "id", "vm_id", _vm_id),
+    ini.Field("vm", "region", "region", _name),
+    ini.Field("vm", "failure_domain", "failure_domain", _name),
+    ini.Field("listen", "http", "http", _address),
+    ini.Field("listen", "peer", "peer", _address),
+    ini.Field("store", "url", "store_url", _url),
+    ini.Field("vm_list", "url", "vm_list_url", _url),
+    ini.Field("seeds", "peers", "seeds", _addresses, ()),
+    ini.Field("limits", "drain_s", "drain_s", _seconds, DEFAULT_DRAIN_S),
+    ini.Field(
         "limits",
         "max_header_bytes",
         "max_header_bytes",
         _header_bytes,
         DEFAULT_HEADER_BYTES,
     ),
-    ("log", "level", "log_level", _level, "info"),
+    ini.Field("log", "level", "log_level", _level, "info"),
 )
 
 
@@ -133,55 +129,4 @@
     Returns:
         The settings, or every error found, each with section and key.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source)
-    except configparser.Error as exc:
-        reason = " ".join(str(exc).split())
-        return result.Err(
-            (errors.SettingsError("settings.parse", source, reason),)
-        )
-    problems = _unknown(parser, source)
-    values = {}
-    for section, key, field, parse_value, default in _FIELDS:
-        raw = parser.get(section, key, fallback=None)
-        if raw is None and default is not _REQUIRED:
-            values[field] = default
-            continue
-        try:
-            if raw is None:
-                raise ValueError("is required")
-            values[field] = parse_value(raw.strip())
-        except ValueError as exc:
-            problems.append(_error(source, section, key, str(exc)))
-    if problems:
-        return result.Err(tuple(problems))
-    return result.Ok(Settings(**values))
-
-
-def _unknown(
-    parser: configparser.ConfigParser, source: str
-) -> list[errors.SettingsError]:
-    known = {(section, key) for section, key, *_ in _FIELDS}
-    sections = {section for section, _ in known}
-    problems = []
-    for key in parser.defaults():
-        problems.append(_error(source, "DEFAULT", key, "is not a setting"))
-    for section in parser.sections():
-        if section not in sections:
-            problems.append(_error(source, section, "*", "unknown section"))
-            continue
-        for key in parser.options(section):
-            if (section, key) not in known and key not in parser.defaults():
-                problems.append(
-                    _error(source, section, key, "is not a setting")
-                )
-    return problems
-
-
-def _error(
-    source: str, section: str, key: str, reason: str
-) -> errors.SettingsError:
-    return errors.SettingsError(
-        "settings.check", source, f"[{section}] {key}: {reason}"
-    )
+    return ini.parse(text, source, _FIELDS).map(lambda v: Settings(**v))
--- a/src/bramleyworks/gateway/settings.py
+++ b/src/bramleyworks/gateway/settings.py
@@ -1,12 +1,12 @@
 """Settings of an entry VM, read from an INI file."""
 
-import configparser
 import dataclasses
 import pathlib
 
 import result
 
 from bramleyworks import errors
+from bramleyworks import ini
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,6 +34,7 @@
         quota_window_s: Window in which requests count against a rate.
         quota_over: Tolerated excess over a rate, as a part of it.
         quota_slack: Requests over a rate that are tolerated besides.
+        link_mbps: Bandwidth of the VM's link, 0 if unknown.
         max_shift: Part of a region's requests that may change the region in
             which they run from one window of 2 s to the next.
         lookup_ttl_s: Longest time for which callers keep a look-up.
@@ -60,6 +61,7 @@
     quota_window_s: float
     quota_over: float
     quota_slack: float
+    link_mbps: float
     max_shift: float
     lookup_ttl_s: float
     log_level: str
@@ -79,10 +81,6 @@
     return text
 
 
-def _optional_address(text: str) -> str:
-    return _address(text) if text else ""
-
-
 def _addresses(text: str) -> tuple[str, ...]:
     return tuple(_address(part) for part in text.split(",") if part)
 
@@ -107,31 +105,31 @@
     return value
 
 
-# Section, key, field, parser and default; None if the key is required.
 _FIELDS = (
-    ("vm", "id", "vm_id", _name, None),
-    ("vm", "region", "region", _name, None),
-    ("vm", "failure_domain", "failure_domain", _name, None),
-    ("vm", "ip", "ip", _name, None),
-    ("vm", "regions", "regions", _regions, None),
-    ("listen", "entry", "entry", _address, None),
-    ("listen", "ready", "ready", _address, None),
-    ("listen", "control", "control", _address, None),
-    ("listen", "directory", "directory", _optional_address, ""),
-    ("listen", "first_port", "first_port", _port, None),
-    ("listen", "metrics_port", "metrics_port", _port, None),
-    ("seeds", "control", "seeds", _addresses, ""),
-    ("store", "address", "store", _address, None),
-    ("limits", "grace_s", "grace_s", _amount, "6"),
-    ("limits", "retry_ratio", "retry_ratio", _amount, "0.2"),
-    ("limits", "retry_slack", "retry_slack", _amount, "0"),
-    ("limits", "retry_window_s", "retry_window_s", _amount, "10"),
-    ("limits", "quota_window_s", "quota_window_s", _amount, "5"),
-    ("limits", "quota_over", "quota_over", _amount, "0"),
-    ("limits", "quota_slack", "quota_slack", _amount, "0"),
-    ("limits", "max_shift", "max_shift", _amount, "1"),
-    ("limits", "lookup_ttl_s", "lookup_ttl_s", _amount, "5"),
-    ("log", "level", "log_level", _name, "info"),
+    ini.Field("vm", "id", "vm_id", _name),
+    ini.Field("vm", "region", "region", _name),
+    ini.Field("vm", "failure_domain", "failure_domain", _name),
+    ini.Field("vm", "ip", "ip", _name),
+    ini.Field("vm", "regions", "regions", _regions),
+    ini.Field("listen", "entry", "entry", _address),
+    ini.Field("listen", "ready", "ready", _address),
+    ini.Field("listen", "control", "control", _address),
+    ini.Field("listen", "directory", "directory", _address, ""),
+    ini.Field("listen", "first_port", "first_port", _port),
+    ini.Field("listen", "metrics_port", "metrics_port", _port),
+    ini.Field("seeds", "control", "seeds", _addresses, ()),
+    ini.Field("store", "address", "store", _address),
+    ini.Field("limits", "grace_s", "grace_s", _amount, 6.0),
+    ini.Field("limits", "retry_ratio", "retry_ratio", _amount, 0.2),
+    ini.Field("limits", "retry_slack", "retry_slack", _amount, 0.0),
+    ini.Field("limits", "retry_window_s", "retry_window_s", _amount, 10.0),
+    ini.Field("limits", "quota_window_s", "quota_window_s", _amount, 5.0),
+    ini.Field("limits", "quota_over", "quota_over", _amount, 0.0),
+    ini.Field("limits", "quota_slack", "quota_slack", _amount, 0.0),
+    ini.Field("limits", "link_mbps", "link_mbps", _amount, 0.0),
+    ini.Field("limits", "max_shift", "max_shift", _amount, 1.0),
+    ini.Field("limits", "lookup_ttl_s", "lookup_ttl_s", _amount, 5.0),
+    ini.Field("log", "level", "log_level", _name, "info"),
 )
 
 
@@ -147,33 +145,7 @@
     Returns:
         The settings, or every error found, each with section and key.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source)
-    except configparser.Error as exc:
-        reason = " ".join(str(exc).split())
-        return result.Err(
-            (errors.SettingsError("settings.parse", source, reason),)
-        )
-    problems = []
-    values = {}
-    for section, key, field, parse_value, default in _FIELDS:
-        raw = (parser.get(section, key, fallback="") or "").strip()
-        if not raw:
-            raw = default
-        try:
-            if raw is None:
-                raise ValueError("is required")
-            values[field] = parse_value(raw)
-        except ValueError as exc:
-            problems.append(
-                errors.SettingsError(
-                    "settings.check", source, f"[{section}] {key}: {exc}"
-                )
-            )
-    if problems:
-        return result.Err(tuple(problems))
-    return result.Ok(Settings(**values))
+    return ini.parse(text, source, _FIELDS).map(lambda v: Settings(**v))
 
 
 def read(
--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -81,7 +81,7 @@
         Returns:
             The answer, which is yet to arrive.
         """
-        self._answer = answer_module.Answer(self._peer, self._flow)
+        self._answer = answer_module.Answer(self._flow)
         self._request_id = request_id
         self._is_head_request = is_head
         self._body_sent = not has_body
--- a/src/bramleyworks/gateway/upstream_head.py
+++ b/src/bramleyworks/gateway/upstream_head.py
@@ -1,24 +1,11 @@
 """Builds the head of a request to an upstream."""
 
+from bramleyworks import http_fields
 from bramleyworks.gateway import plan as plan_module
 from bramleyworks.gateway import request as request_module
 from bramleyworks.platform import header_names
 
-HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
+HOP_HEADERS = http_fields.HOP_BY_HOP | {b"content-length", b"expect"}
 # Headers that only this system may set.
 OWN_HEADERS = frozenset(
     (
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -43,9 +43,19 @@
         assert field in named
 
 
+def test_unknown_settings_are_named():
+    text = platform_fleet.SETTINGS.format(**VALUES)
+    text = text.replace("grace_s = 4", "grace = 4") + "\n[speed]\nfast = 1\n"
+    problems = settings.parse(text, "vm.ini").unwrap_err()
+    named = " ".join(p.reason for p in problems)
+    assert "[limits] grace: is not a setting" in named
+    assert "[speed] *: unknown section" in named
+
+
 def test_template_sets_every_field():
     template = TEMPLATE.read_text()
-    for section, key, *_ in settings._FIELDS:
+    for field in settings._FIELDS:
+        section, key = field.section, field.key
         if section == "log":
             continue
         part = template.split(f"[{section}]")[1].split("\n[")[0]
