Send changes instead of whole states between the VMs of a large fleet

Heartbeats of 2.5 KB to 29 peers were most of the bytes between failure domains, and summaries to every VM of other regions most of those between regions. Change: followers name their revision, copies are compressed and made once; speakers have the widest links and lie in different failure domains; only the first one watches the store, the next takes over after 1.6 s; summaries go to the speakers of other regions, which pass them on; heartbeats carry what changed since the last whole one.

--- a/src/bramleyworks/gateway/control_app.py
+++ b/src/bramleyworks/gateway/control_app.py
@@ -29,7 +29,7 @@
         content = copy(int(after))
         if content is None:
             return responses.Response(status_code=503)
-        return responses.Response(content, media_type="application/msgpack")
+        return responses.Response(content, media_type="application/zlib")
 
     return applications.Starlette(routes=[routing.Route(COPY_PATH, read_copy)])
 
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -25,6 +25,7 @@
 from bramleyworks.gateway import rollout_order
 from bramleyworks.gateway import rollout_state
 from bramleyworks.gateway import settings as settings_module
+from bramleyworks.gateway import store_copy
 from bramleyworks.gateway import store_sync
 from bramleyworks.gateway import traffic as traffic_module
 from bramleyworks.gateway import vm as vm_module
@@ -78,6 +79,7 @@
             entry=settings.entry,
             control=settings.control,
             peer=f"{settings.ip}:{settings.first_port}",
+            link_mbps=settings.link_mbps,
         )
         self._world = world_module.World(
             settings.region, settings.regions, log, clock
@@ -136,6 +138,7 @@
         self._front = front_server.FrontServer(
             self._exchanges.start, self._world.limits, clock
         )
+        self._copies = store_copy.CopySource(self._mirror)
         self._directory = directory_module.Directory(
             self._own,
             self._is_ready,
@@ -401,7 +404,7 @@
     def _copy(self, after: int) -> bytes | None:
         if not self._sync.has_state:
             return None
-        return store_sync.encode_copy(self._mirror, after)
+        return self._copies.encode(after)
 
     def _vms_in(self, region: str | None) -> int:
         """Returns the VMs of a region to reckon with, of all for None."""
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -3,14 +3,16 @@
 A datagram carries the sender's whole state, so that a lost one costs nothing
 but its age, and a peer that does not answer holds nobody up. In a small fleet
 every VM tells every other. In a large one VMs tell those of their region, and
-two of them speak for the region to all others, so that the cost of one VM
-grows with the size of its region and with the number of regions.
+two of them speak for the region: they tell the speakers of all others, which
+pass it on in theirs. The cost of one VM then grows with the size of its region
+and with the number of regions, and few bytes cross regions.
 """
 
 import asyncio
 import dataclasses
 import math
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import msgspec
@@ -38,6 +40,10 @@
 # Time between two summaries of a region. They cross regions, where bytes are
 # dear, and bound the age of what regions know of each other's requests.
 SUMMARY_S = 0.5
+# Heartbeats, or summaries, from one whole one to the next. What a lost whole
+# one told is known again after this many.
+WHOLE_EVERY = 6
+WHOLE_SUMMARY_EVERY = 4
 # Shortest time between two heartbeats that are sent because of news.
 NEWS_S = 0.05
 
@@ -76,8 +82,13 @@
         self._seeds = seeds
         self._clock = clock
         self._heard: dict[str, Heard] = {}
-        self._regions: dict[str, Heard] = {}
+        # Newest summary of each speaker of another region, and the speaker
+        # that is believed, by region.
+        self._summaries: dict[str, Heard] = {}
+        self._believed: dict[str, str] = {}
         self._summary = region_summary.RegionSummary()
+        self._beats = beat_module.Shortener(WHOLE_EVERY)
+        self._short_summaries = beat_module.Shortener(WHOLE_SUMMARY_EVERY)
         self._number = 0
         self._sent_s = 0.0
         self._summary_s = -math.inf
@@ -118,32 +129,42 @@
             return
         if beat.vm.id == self._own.id:
             return
-        heard = Heard(beat, self._clock())
-        if beat.speaks_for:
-            self._take_summary(heard)
+        if beat.speaks_for and self._is_near(beat):
             return
-        known = self._heard.get(beat.vm.id)
+        table = self._summaries if beat.speaks_for else self._heard
+        known = table.get(beat.vm.id)
         if known is not None and _age(beat) <= _age(known.beat):
             return
-        self._heard[beat.vm.id] = heard
-        if known is None:
+        whole = beat_module.complete(beat, known.beat if known else None)
+        if whole is None:
+            # The next whole one follows soon.
+            return
+        table[beat.vm.id] = Heard(whole, self._clock())
+        if beat.speaks_for:
+            self._believe(whole)
+            self._pass_on(beat, data)
+        elif known is None:
             logging.info("peer %s heard", beat.vm.id)
 
-    def _take_summary(self, heard: Heard) -> None:
-        """Takes a region's summary; one speaker is believed at a time."""
-        region = heard.beat.vm.region
-        if region == self._own.region:
-            return
-        known = self._regions.get(region)
-        if known is not None and known.beat.vm.id != heard.beat.vm.id:
+    def _believe(self, summary: beat_module.Beat) -> None:
+        """Chooses between the speakers of a region."""
+        region = summary.vm.region
+        name = self._believed.get(region)
+        if name is not None and name != summary.vm.id:
+            known = self._summaries[name]
             silent_s = self._clock() - known.at_s
             is_silent = silent_s > SPEAKER_MISSED * self.interval_s
             # A VM that has just started may speak for itself alone.
-            if not is_silent and (
-                heard.beat.speaks_for <= known.beat.speaks_for
-            ):
+            if not is_silent and summary.speaks_for <= known.beat.speaks_for:
                 return
-        self._regions[region] = heard
+        self._believed[region] = summary.vm.id
+
+    def _pass_on(self, summary: beat_module.Beat, data: bytes) -> None:
+        """Tells the own region what the believed speaker of another said."""
+        if self._believed[summary.vm.region] != summary.vm.id:
+            return
+        if self._own.id in self.speakers():
+            self._send_to({beat.vm.peer for beat in self.near()}, data)
 
     def error_received(self, exc: Exception) -> None:
         """Logs an error of the socket; the peer is judged by its silence."""
@@ -163,7 +184,8 @@
         """Returns heartbeats that cover every live peer once."""
         if self.is_flat:
             return self.near()
-        far = [h.beat for h in self._regions.values() if self._is_fresh(h)]
+        believed = [self._summaries[n] for n in self._believed.values()]
+        far = [heard.beat for heard in believed if self._is_fresh(heard)]
         return self.near() + far
 
     def count(self) -> int:
@@ -182,10 +204,9 @@
         return found
 
     def speakers(self) -> list[str]:
-        """Returns the VMs that speak for the own region."""
-        names = [beat.vm.id for beat in self.near() if self._is_near(beat)]
-        names.append(self._own.id)
-        return rendezvous.rank(self._own.region, names)[:SPEAKERS]
+        """Returns the VMs that speak for the own region, the first first."""
+        vms = [beat.vm for beat in self.near() if self._is_near(beat)]
+        return speakers(self._own.region, [*vms, self._own])
 
     def silence_s(self, vm_id: str) -> float:
         """Returns the time since a peer was heard."""
@@ -193,8 +214,9 @@
         return math.inf if heard is None else self._clock() - heard.at_s
 
     def tell_news(self) -> None:
-        """Sends the next heartbeat soon."""
-        self._has_news = True
+        """Sends the next heartbeat soon if others follow this VM."""
+        if self.is_flat or self._own.id in self.speakers():
+            self._has_news = True
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
@@ -213,28 +235,49 @@
         self._number += 1
         self._sent_s = self._clock()
         beat = self._build(self._number)
+        is_flat = self.is_flat
         vms = {name: h.beat.vm for name, h in self._heard.items()}
         vms.update(self._registered())
         vms.pop(self._own.id, None)
-        is_flat = self.is_flat
         near = {
             vm.peer
             for vm in vms.values()
             if is_flat or vm.region == self._own.region
         }
-        self._send_to(near or set(self._seeds), beat)
+        short = self._beats.shorten(beat)
+        self._send_to(near or set(self._seeds), msgspec.msgpack.encode(short))
         if is_flat or self._sent_s - self._summary_s < SUMMARY_S:
             return
         if self._own.id in self.speakers():
             self._summary_s = self._sent_s
-            summary = self._summary.build(beat, self.near())
-            far = {
-                vm.peer for vm in vms.values() if vm.region != self._own.region
-            }
-            self._send_to(far, summary)
-
-    def _send_to(self, addresses: set[str], beat: beat_module.Beat) -> None:
-        data = msgspec.msgpack.encode(beat)
+            summary = self._short_summaries.shorten(
+                self._summary.build(beat, self.near())
+            )
+            far = self._far_speakers(vms.values())
+            self._send_to(far, msgspec.msgpack.encode(summary))
+
+    def _far_speakers(self, vms: Iterable[vm_module.Vm]) -> set[str]:
+        """Returns where the summary of the own region is sent."""
+        by_region: dict[str, list[vm_module.Vm]] = {}
+        for vm in vms:
+            if vm.region != self._own.region:
+                by_region.setdefault(vm.region, []).append(vm)
+        found = set()
+        for region, all_there in by_region.items():
+            live = self._members(region)
+            there = [vm for vm in all_there if not live or vm.id in live]
+            chosen = speakers(region, there or all_there)
+            found.update(vm.peer for vm in all_there if vm.id in chosen)
+        return found
+
+    def _members(self, region: str) -> Mapping[str, str]:
+        """Returns the VMs that a region's speaker named lately."""
+        heard = self._summaries.get(self._believed.get(region, ""))
+        if heard is None or not self._is_fresh(heard):
+            return {}
+        return heard.beat.members
+
+    def _send_to(self, addresses: set[str], data: bytes) -> None:
         for address in addresses:
             if address != self._own.peer:
                 host, _, port = address.rpartition(":")
@@ -254,6 +297,29 @@
             if heard.at_s < limit:
                 del self._heard[name]
                 logging.info("peer %s lost", name)
+        for name, heard in list(self._summaries.items()):
+            if heard.at_s < limit and name not in self._believed.values():
+                del self._summaries[name]
+
+
+def speakers(region: str, vms: Iterable[vm_module.Vm]) -> list[str]:
+    """Returns the VMs that speak for a region.
+
+    The widest links come first, since followers copy the store through them,
+    and the second one is in another failure domain if there is one.
+    """
+    known = {vm.id: vm for vm in vms}
+    ranked = rendezvous.rank(region, known)
+    ranked.sort(key=lambda name: -known[name].link_mbps)
+    chosen = ranked[:1]
+    while ranked and len(chosen) < SPEAKERS:
+        used = {known[name].failure_domain for name in chosen}
+        left = [name for name in ranked if name not in chosen]
+        if not left:
+            break
+        apart = [n for n in left if known[n].failure_domain not in used]
+        chosen.append((apart or left)[0])
+    return chosen
 
 
 def _age(beat: beat_module.Beat) -> tuple[int, int]:
--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -15,7 +15,9 @@
 # other.
 OVER_USE = 0.2
 SLACK_USE = 0.7
-NO_USE = (0, 0.0)
+NO_USE = (0, 0)
+# Demand is told in tenths of a request per second.
+TENTHS = 10
 
 
 class _Meter:
@@ -63,7 +65,7 @@
         self._meters: dict[str, _Meter] = {}
         self._limits: dict[str, shared_limit.SharedLimit] = {}
         self._told: collections.deque[
-            tuple[float, dict[str, tuple[int, float]]]
+            tuple[float, dict[str, tuple[int, int]]]
         ] = collections.deque()
 
     def configure(self, window_s: float, over: float, slack: float) -> None:
@@ -124,22 +126,27 @@
         if limit is not None:
             limit.give_back()
 
-    def use(self) -> dict[str, tuple[int, float]]:
-        """Returns admitted requests and demand by organisation, for peers."""
+    def use(self) -> dict[str, tuple[int, int]]:
+        """Returns what peers are told, by organisation.
+
+        Returns:
+            Admitted requests, and demand in tenths of a request per second.
+        """
         now_s = self._clock()
         found = {}
         for name, meter in self._meters.items():
             meter.tick(now_s)
             limit = self._limits.get(name)
             count = limit.admitted if limit else 0
-            if count or meter.rate > 0.01:
-                found[name] = (count, round(meter.rate, 1))
+            rate = round(meter.rate * TENTHS)
+            if count or rate:
+                found[name] = (count, rate)
         self._told.append((now_s, found))
         return found
 
     def share(
         self,
-        peers: Mapping[str, Mapping[str, tuple[int, float]]],
+        peers: Mapping[str, Mapping[str, tuple[int, int]]],
         silent: int,
         lag_s: float,
     ) -> None:
@@ -153,19 +160,24 @@
         now_s = self._clock()
         while len(self._told) > 1 and self._told[1][0] <= now_s - lag_s:
             self._told.popleft()
-        told: dict[str, tuple[int, float]] = {}
+        told: dict[str, tuple[int, int]] = {}
         if self._told and self._told[0][0] <= now_s - lag_s:
             told = self._told[0][1]
         for name, limit in self._limits.items():
             # Its own use as old as that of the others, so that all VMs come to
             # parts that add up to one.
-            own = shared_limit.Use(*told.get(name, NO_USE))
+            own = _decode(told.get(name, NO_USE))
             limit.update(
                 own=own,
                 peers={
-                    vm: shared_limit.Use(*use.get(name, NO_USE))
+                    vm: _decode(use.get(name, NO_USE))
                     for vm, use in peers.items()
                 },
                 silent=silent,
                 now_s=now_s,
             )
+
+
+def _decode(told: tuple[int, int]) -> shared_limit.Use:
+    admitted, tenths = told
+    return shared_limit.Use(admitted, tenths / TENTHS)
--- a/src/bramleyworks/gateway/region_summary.py
+++ b/src/bramleyworks/gateway/region_summary.py
@@ -27,12 +27,12 @@
         """
         beats = [own, *members]
         demand: dict[str, float] = {}
-        rates: dict[str, float] = {}
+        rates: dict[str, int] = {}
         for beat in beats:
             for service, slots in beat.demand.items():
                 demand[service] = round(demand.get(service, 0.0) + slots, 2)
             for name, (_, rate) in beat.use.items():
-                rates[name] = round(rates.get(name, 0.0) + rate, 1)
+                rates[name] = rates.get(name, 0) + rate
         self._count(beats)
         return msgspec.structs.replace(
             own,
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -4,9 +4,10 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
 
 import aiohttp
-import msgspec
 from absl import logging
 
 from bramleyworks import errors
@@ -14,6 +15,7 @@
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import mirror as mirror_module
 from bramleyworks.gateway import peers as peers_module
+from bramleyworks.gateway import store_copy
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import store_keys
@@ -34,13 +36,13 @@
 AWAY_S = 1.0
 # Time between two looks at what speakers know; they tell news at once.
 FOLLOW_S = 0.05
-# Age of a speaker's last answer from the store, and time since its last
-# heartbeat, up to which it is followed. Both and the time to take over add up
-# to less than the time in which a configuration has to be in force.
-SPEAKER_AGE_S = 1.5
-SPEAKER_SILENCE_S = 1.0
+# Age of a speaker's last answer from the store up to which the next speaker,
+# and all others, follow it. With the time to read the store they are less than
+# the 2.5 s in which a configuration has to be in force.
+SPEAKER_AGE_S = 1.6
+FOLLOWER_AGE_S = 2.1
 # Wait of a speaker's watch, after which its answer's age is new again.
-SPEAKER_WATCH_S = 1.0
+SPEAKER_WATCH_S = 0.8
 # Age that stands for "never", in heartbeats.
 MAX_AGE_S = 3600.0
 # Longest time of reading a peer's copy.
@@ -125,20 +127,14 @@
         return min(MAX_AGE_S, self._clock() - self._answered_s)
 
     def _follows(self) -> bool:
-        """Returns whether a speaker of the region watches for this VM.
-
-        In a large fleet only the speakers of each region watch the store. A
-        VM that hears of none with a recent answer watches for itself.
-        """
-        speakers = self._peers.speakers()
-        if self._peers.is_flat or self._own_id in speakers:
+        """Returns whether a speaker of the region watches for this VM."""
+        if self._peers.is_flat:
             return False
-        return any(
-            beat.vm.id in speakers
-            and beat.store_age_s < SPEAKER_AGE_S
-            and self._peers.silence_s(beat.vm.id) < SPEAKER_SILENCE_S
+        ages = {
+            beat.vm.id: beat.store_age_s + self._peers.silence_s(beat.vm.id)
             for beat in self._peers.near()
-        )
+        }
+        return follows(self._own_id, self._peers.speakers(), ages)
 
     def _answered(self) -> None:
         now_s = self._clock()
@@ -213,58 +209,49 @@
         if not ahead:
             return
         address = random.choice(ahead)
+        url = f"http://{address}/v1/copy?after={self._mirror.revision}"
         try:
             async with http_session.create(PEER_TIMEOUT_S) as session:
-                async with session.get(f"http://{address}/v1/copy") as answer:
+                async with session.get(url) as answer:
                     if answer.status != 200:
                         return
                     raw = await answer.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             logging.info("copy from %s: %r", address, exc)
             return
-        try:
-            copy = msgspec.msgpack.decode(raw, type=Copy)
-        except msgspec.DecodeError as exc:
-            logging.warning("copy from %s: %s", address, exc)
+        taken = store_copy.take(raw, address, self._mirror)
+        if taken.is_err():
+            logging.warning("%s", taken.unwrap_err())
             return
-        if copy.revision <= self._mirror.revision:
+        changes = taken.unwrap()
+        if changes is None:
             return
-        items = [kv_item.KvItem(*item) for item in copy.items]
-        if copy.is_whole:
-            self._mirror.replace(copy.revision, items)
-        else:
-            self._mirror.apply(copy.revision, items)
         self.has_state = True
         self._log.write(
             "store.copied",
             peer=address,
-            revision=copy.revision,
-            changes=len(items),
+            revision=self._mirror.revision,
+            changes=changes,
         )
 
 
-class Copy(msgspec.Struct, frozen=True, array_like=True):
-    """A VM's copy of the store, or what has changed in it.
+def follows(
+    own_id: str, speakers: Sequence[str], ages: Mapping[str, float]
+) -> bool:
+    """Returns whether a VM copies from a speaker and need not watch.
 
-    Attributes:
-        revision: Store revision up to which all changes are known.
-        is_whole: Whether items that are missing do not exist.
-        items: Key, value (None for a removal) and revision of each item.
-    """
+    Only the first speaker of a region watches the store. The second one, and
+    then all others, take over when they hear of nobody before them with a
+    recent answer.
 
-    revision: int
-    is_whole: bool
-    items: list[tuple[str, bytes | None, int]]
-
-
-def encode_copy(mirror: mirror_module.Mirror, after: int) -> bytes:
-    """Encodes what a peer lacks that knows all changes up to a revision."""
-    changes = mirror.changes_since(after) if after else None
-    found = mirror.items() if changes is None else changes
-    return msgspec.msgpack.encode(
-        Copy(
-            mirror.revision,
-            changes is None,
-            [(i.key, i.value, i.revision) for i in found],
-        )
-    )
+    Args:
+        own_id: The VM.
+        speakers: Speakers of its region, the first first.
+        ages: Time since the store answered, in seconds, of each peer.
+    """
+    limit_s = FOLLOWER_AGE_S
+    before = list(speakers)
+    if own_id in before:
+        limit_s = SPEAKER_AGE_S
+        before = before[: before.index(own_id)]
+    return any(ages.get(name, math.inf) < limit_s for name in before)
--- a/src/bramleyworks/gateway/vm.py
+++ b/src/bramleyworks/gateway/vm.py
@@ -15,6 +15,7 @@
         entry: Address for callers, ``IP:PORT``.
         control: Address for other VMs over HTTP, ``IP:PORT``.
         peer: Address for heartbeats over UDP, ``IP:PORT``.
+        link_mbps: Bandwidth of the VM's link in Mbit/s, 0 if unknown.
     """
 
     id: str
@@ -24,3 +25,4 @@
     entry: str
     control: str
     peer: str
+    link_mbps: float = 0.0
