--- a/src/bramleyworks/gateway/admission.py
+++ b/src/bramleyworks/gateway/admission.py
@@ -65,27 +65,22 @@
             raise refused.Refused(404, "no route matches")
         trace.route = route.name
         organisation = self._organisation(req, intent, route)
-        now_s = self._clock()
-        client_s = self._client_deadline_s(req, route)
-        regions = route.regions
-        priority = route.priority
         if organisation is not None:
             trace.organisation = organisation.name
-            if organisation.regions:
-                regions = (
-                    regions & organisation.regions
-                    if regions
-                    else organisation.regions
-                )
-                if not regions:
-                    raise refused.Refused(503, "no region may serve it")
-            if organisation.priority is not None:
-                priority = organisation.priority
+        regions = _regions(route, organisation)
+        client_s = self._client_deadline_s(req, route)
+        deadline_s = min(client_s, req.received_s + route.timeout_s) - MARGIN_S
+        if deadline_s <= self._clock():
+            raise refused.Refused(503, "no time is left")
+        if organisation is not None:
             wait_s = self._quotas.admit(organisation)
             if wait_s > 0:
                 raise refused.Refused(
                     429, "the organisation's rate is used up", wait_s
                 )
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
         key = req.get(header_names.OBJECT_KEY)
         plan = plan_module.Plan(
             route=route,
@@ -97,8 +92,7 @@
                 if key and route.is_sticky
                 else ""
             ),
-            deadline_s=min(client_s, req.received_s + route.timeout_s)
-            - MARGIN_S,
+            deadline_s=deadline_s,
             client_deadline_s=client_s,
             objective_s=req.received_s + route.objective_s,
             regions=regions,
@@ -106,8 +100,6 @@
         )
         trace.service = plan.service
         trace.object_key = plan.object_key
-        if plan.deadline_s <= now_s:
-            raise refused.Refused(503, "no time is left")
         return plan
 
     def _organisation(
@@ -144,3 +136,22 @@
         turn = self._parts.setdefault(key, weighted_turn.WeightedTurn())
         weights = {part.service: part.weight for part in route.parts}
         return turn.next(weights) or route.parts[0].service
+
+
+def _regions(
+    route: route_module.Route,
+    organisation: organisation_module.Organisation | None,
+) -> frozenset[str]:
+    """Returns the regions that may serve a request, none for all.
+
+    Raises:
+        refused.Refused: Route and organisation share no region.
+    """
+    if organisation is None or not organisation.regions:
+        return route.regions
+    if not route.regions:
+        return organisation.regions
+    both = route.regions & organisation.regions
+    if not both:
+        raise refused.Refused(503, "no region may serve it")
+    return both
--- /dev/null
+++ b/src/bramleyworks/gateway/attempts.py
@@ -0,0 +1,321 @@
+"""One attempt at one upstream: sends a request and brings its answer back."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from bramleyworks import errors
+from bramleyworks.gateway import answer as answer_module
+from bramleyworks.gateway import attempt_outcome
+from bramleyworks.gateway import moves as moves_module
+from bramleyworks.gateway import plan as plan_module
+from bramleyworks.gateway import request as request_module
+from bramleyworks.gateway import response as response_module
+from bramleyworks.gateway import trace as trace_module
+from bramleyworks.gateway import traffic as traffic_module
+from bramleyworks.gateway import upstream as upstream_module
+from bramleyworks.gateway import upstream_conn
+from bramleyworks.gateway import upstream_head
+from bramleyworks.gateway import world as world_module
+from bramleyworks.platform import header_names
+from bramleyworks.policy import placement
+
+# Answers to idempotent requests up to this size are read to their end before
+# the caller sees any of it, so that a broken one can be asked for again.
+WHOLE_ANSWER_BYTES = 256 * 1024
+# Multiple of the expected latency after which an upstream that has answered
+# nobody meanwhile is asked for another connection.
+SILENCE_FACTOR = 5.0
+SILENCE_MIN_S = 0.6
+
+
+class Attempts:
+    """Makes attempts, and learns from what upstreams answer."""
+
+    def __init__(
+        self,
+        world: world_module.World,
+        traffic: traffic_module.Traffic,
+        closes: Callable[[request_module.Request], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Takes the collaborators.
+
+        Args:
+            world: What the VM believes.
+            traffic: Work of requests, and demand.
+            closes: Whether a request's connection ends with its response.
+            clock: Monotonic time in seconds.
+        """
+        self._world = world
+        self._traffic = traffic
+        self._closes = closes
+        self._clock = clock
+
+    async def run(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        plan: plan_module.Plan,
+        upstream: upstream_module.Upstream,
+        choice: placement.Choice,
+        body: bytes | None,
+        trace: trace_module.Trace,
+    ) -> attempt_outcome.Outcome:
+        """Sends the request to one upstream and brings its answer back."""
+        is_trial = upstream.health.out
+        if is_trial:
+            upstream.begin_trial()
+        upstream.in_flight += 1
+        conn = None
+        began_s = self._clock()
+        try:
+            conn = await upstream.connect(not plan.route.idempotent)
+            if conn.uses == 0:
+                region = self._world.registry.region_of(upstream)
+                self._world.registry.note_rtt(region, self._clock() - began_s)
+            outcome = await self._exchange(
+                req, res, plan, upstream, choice, conn, body, trace
+            )
+        except errors.UpstreamError as exc:
+            verdict = (
+                attempt_outcome.Verdict.NOT_RUN
+                if exc.not_run
+                else attempt_outcome.Verdict.FAILED
+            )
+            outcome = attempt_outcome.Outcome(
+                verdict, f"{exc.step}: {exc.reason}"
+            )
+            upstream.note_outcome(True, is_trial)
+        except asyncio.CancelledError:
+            now_s = self._clock()
+            if upstream.heard_s < began_s < now_s - SILENCE_MIN_S:
+                upstream.note_outcome(True, is_trial)
+            raise
+        else:
+            if outcome.verdict is not attempt_outcome.Verdict.NOT_RUN:
+                failed = outcome.verdict is attempt_outcome.Verdict.FAILED
+                upstream.note_outcome(failed, is_trial)
+        finally:
+            upstream.in_flight -= 1
+            if conn is not None:
+                upstream.give_back(conn)
+        return outcome
+
+    async def _exchange(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        plan: plan_module.Plan,
+        upstream: upstream_module.Upstream,
+        choice: placement.Choice,
+        conn: upstream_conn.UpstreamConn,
+        body: bytes | None,
+        trace: trace_module.Trace,
+    ) -> attempt_outcome.Outcome:
+        sent_s = self._clock()
+        answer = conn.start(
+            upstream_head.build(
+                req,
+                plan,
+                upstream.instance.id,
+                body,
+                plan.deadline_s - self._clock(),
+            ),
+            plan.request_id,
+            req.method == b"HEAD",
+            body is None,
+        )
+        sender = None
+        if body is None:
+            sender = asyncio.create_task(_send_body(req, conn))
+        try:
+            await self._wait_head(answer, plan, upstream, choice, sent_s)
+            took_s = self._clock() - sent_s
+            self._note_told(answer, upstream)
+            outcome = self._judge(answer, upstream)
+            if outcome is not None:
+                return outcome
+            self._note_answer(plan, upstream, choice, took_s, answer.status)
+            return await self._deliver(req, res, plan, answer, trace)
+        finally:
+            if sender is not None:
+                sender.cancel()
+            if not answer.is_complete:
+                conn.abort()
+
+    async def _wait_head(
+        self,
+        answer: answer_module.Answer,
+        plan: plan_module.Plan,
+        upstream: upstream_module.Upstream,
+        choice: placement.Choice,
+        sent_s: float,
+    ) -> None:
+        """Waits for the head, on a silent upstream not to the very end.
+
+        Raises:
+            errors.UpstreamError: The exchange failed, or the upstream has
+                answered nobody since the request was sent.
+        """
+        patience_s = max(SILENCE_MIN_S, SILENCE_FACTOR * choice.expected_s)
+        if not plan.route.idempotent or plan.route.attempts < 2:
+            await answer.wait_head()
+            return
+        while True:
+            try:
+                async with asyncio.timeout(patience_s):
+                    await answer.wait_head()
+                return
+            except TimeoutError:
+                if upstream.heard_s > sent_s or await upstream.is_reachable():
+                    continue
+                raise errors.UpstreamError(
+                    "upstream.silence",
+                    upstream.instance.id,
+                    f"no answer for {self._clock() - sent_s:.3f} s",
+                    not_run=False,
+                ) from None
+
+    def _judge(
+        self, answer: answer_module.Answer, upstream: upstream_module.Upstream
+    ) -> attempt_outcome.Outcome | None:
+        """Returns why an answer is not to be delivered, None if it is."""
+        status = answer.status
+        if answer.get(header_names.NOT_RUN) is not None or status == 421:
+            upstream.note_shed()
+            return attempt_outcome.Outcome(
+                attempt_outcome.Verdict.NOT_RUN, f"refused with {status}"
+            )
+        if answer.get(header_names.SIGNATURE) is None:
+            return attempt_outcome.Outcome(
+                attempt_outcome.Verdict.FAILED, f"unsigned answer {status}"
+            )
+        return None
+
+    async def _deliver(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        plan: plan_module.Plan,
+        answer: answer_module.Answer,
+        trace: trace_module.Trace,
+    ) -> attempt_outcome.Outcome:
+        """Passes an answer on.
+
+        Short answers are read to their end first. A broken one can be asked
+        for again then, and an error of the upstream can be tried elsewhere.
+        """
+        headers = [
+            h for h in answer.headers if h[0] not in upstream_head.HOP_HEADERS
+        ]
+        held = b""
+        is_short = answer.length is None or answer.length <= WHOLE_ANSWER_BYTES
+        while is_short and len(held) <= WHOLE_ANSWER_BYTES:
+            chunk = await answer.read()
+            if chunk:
+                held += chunk
+                continue
+            if answer.status >= 500 and plan.route.idempotent:
+                return attempt_outcome.Outcome(
+                    attempt_outcome.Verdict.UPSTREAM_ERROR,
+                    f"status {answer.status}",
+                    (answer.status, headers, held),
+                )
+            trace.status = answer.status
+            req.discard()
+            res.whole(answer.status, headers, held, self._closes(req))
+            return attempt_outcome.Outcome(
+                attempt_outcome.Verdict.ANSWERED, str(answer.status)
+            )
+        trace.status = answer.status
+        res.head(answer.status, headers, answer.length, self._closes(req))
+        await res.body(held)
+        while chunk := await answer.read():
+            await res.body(chunk)
+        req.discard()
+        res.end()
+        return attempt_outcome.Outcome(
+            attempt_outcome.Verdict.ANSWERED, str(answer.status)
+        )
+
+    def _note_told(
+        self, answer: answer_module.Answer, upstream: upstream_module.Upstream
+    ) -> None:
+        """Takes the load and the cold time that an answer tells."""
+        upstream.heard_s = self._clock()
+        told = answer.get(header_names.UPSTREAM_LOAD)
+        if told is not None:
+            parts = told.split(b",")
+            if len(parts) == 3 and all(p.strip().isdigit() for p in parts):
+                upstream.note_load(int(parts[0]), int(parts[1]))
+        cold_ms = answer.get(header_names.COLD_LEFT_MS)
+        if cold_ms is not None and cold_ms.strip().isdigit():
+            upstream.note_cold(int(cold_ms) / 1000)
+
+    def _note_answer(
+        self,
+        plan: plan_module.Plan,
+        upstream: upstream_module.Upstream,
+        choice: placement.Choice,
+        took_s: float,
+        status: int,
+    ) -> None:
+        """Learns from the latency of an answer.
+
+        Only objects that this VM knows to be held there, and those that
+        nobody has sent there, tell how long the work takes.
+        """
+        registry = self._world.registry
+        net_s = max(1e-3, took_s - registry.rtt_s(registry.region_of(upstream)))
+        took_s = max(1e-3, net_s - choice.wait_s)
+        key = plan.object_key
+        is_warm = not key or upstream.holds(key)
+        usual_s = self._traffic.work_s(
+            plan.route.name, plan.service, plan.route.objective_s, is_warm
+        )
+        # Only answers tell about a version: connections fail when one upstream
+        # or its network does.
+        is_bad = status >= 500 or moves_module.is_slow(took_s, usual_s)
+        self._observe_version(upstream, plan, is_bad)
+        if status >= 500:
+            return
+        if key:
+            upstream.note_object(key)
+        if not is_warm and choice.is_warm:
+            return
+        upstream.note_answer(took_s, usual_s)
+        if choice.wait_s == 0.0 and not upstream.is_cold:
+            self._traffic.note_work(
+                plan.route.name,
+                plan.service,
+                plan.route.objective_s,
+                is_warm,
+                net_s / upstream.slowness,
+            )
+
+    def _observe_version(
+        self,
+        upstream: upstream_module.Upstream,
+        plan: plan_module.Plan,
+        is_bad: bool,
+    ) -> None:
+        self._world.moves.observe(
+            plan.service,
+            upstream.instance.version,
+            plan.route.name,
+            is_bad,
+        )
+
+
+async def _send_body(
+    req: request_module.Request, conn: upstream_conn.UpstreamConn
+) -> None:
+    """Sends a long body as it arrives."""
+    while chunk := await req.read():
+        if req.length is None:
+            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        await conn.send(chunk)
+    if req.length is None:
+        await conn.send(b"0\r\n\r\n")
+    conn.end_body()
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -5,12 +5,10 @@
 import pytest
 from support import ports
 
+from bramleyworks.gateway import attempts
 from bramleyworks.gateway import event_log
-from bramleyworks.gateway import exchange
 from bramleyworks.gateway import instance
 from bramleyworks.gateway import plan
-from bramleyworks.gateway import quotas
-from bramleyworks.gateway import repeat_budget
 from bramleyworks.gateway import request
 from bramleyworks.gateway import rollout_order
 from bramleyworks.gateway import route
@@ -44,23 +42,18 @@
         believed = world.World("one", {"one-a": "one"}, log, clock)
         order = rollout_order.RolloutOrder("desk", "v2", 10.0, 5)
         believed.moves.order("desk", order)
-        exchanges = exchange.Exchanges(
-            "one",
+        made = attempts.Attempts(
             believed,
             traffic.Traffic("one", 0.15, clock),
-            quotas.Quotas(5.0, 0.1, 20.0, clock),
-            repeat_budget.RepeatBudget(0.2, 50.0, 10.0, clock),
-            lambda _: 1,
-            lambda *_: None,
-            log,
+            lambda _: False,
             clock,
         )
-        yield believed, exchanges
+        yield believed, made
 
 
 async def test_upstream_that_can_not_be_reached_is_none(parts):
     """Seen on a recorded day: upstreams of a good version that were lost."""
-    believed, exchanges = parts
+    believed, made = parts
     port = ports.free_port()
     lost = upstream.Upstream(
         instance.Instance(
@@ -84,9 +77,7 @@
     req = request.Request(lambda _: None)
     choice = placement.Choice("n1", 0.1, 0.0, 0.1)
     for _ in range(10):
-        await exchanges._attempt(
-            req, None, planned, lost, choice, b"", trace.Trace()
-        )
+        await made.run(req, None, planned, lost, choice, b"", trace.Trace())
     assert lost.health.out
     (report,) = believed.report_moves().values()
     assert report.counts == {}
