Move the recording of moves and the state report out of the gateway

Change: move_recorder.py, state_report.py; the limit is worked out once a look. Measured: tests of the life cycle, evidence and peers pass; no decision changes.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -8,7 +8,6 @@
 
 from absl import logging
 
-from bramleyworks import errors
 from bramleyworks.daemon import metrics as metrics_module
 from bramleyworks.daemon import server as server_module
 from bramleyworks.gateway import beat as beat_module
@@ -18,13 +17,13 @@
 from bramleyworks.gateway import exchange
 from bramleyworks.gateway import front_server
 from bramleyworks.gateway import mirror as mirror_module
+from bramleyworks.gateway import move_recorder
 from bramleyworks.gateway import peers as peers_module
 from bramleyworks.gateway import quotas as quotas_module
 from bramleyworks.gateway import registration as registration_module
 from bramleyworks.gateway import repeat_budget
-from bramleyworks.gateway import rollout_order
-from bramleyworks.gateway import rollout_state
 from bramleyworks.gateway import settings as settings_module
+from bramleyworks.gateway import state_report
 from bramleyworks.gateway import store_copy
 from bramleyworks.gateway import store_sync
 from bramleyworks.gateway import traffic as traffic_module
@@ -33,14 +32,10 @@
 from bramleyworks.platform import entry_app
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import kv_store
-from bramleyworks.platform import store_keys
 from bramleyworks.platform import wire_facts
-from bramleyworks.platform import wire_rollout
 
 # Time between two looks at demand, shares and moves.
 TICK_S = 0.2
-# Time between two lines of the log that tell what the VM believes.
-REPORT_S = 2.0
 # Time for which callers may keep a look-up; a VM that stops serves this long.
 LOOKUP_TTL_S = 2.0
 # Parts of the time to stop: callers learn of it first, then connections end.
@@ -48,8 +43,6 @@
 STOP_LISTEN_S = 2.5
 # Time kept for the end of the process itself.
 STOP_MARGIN_S = 0.7
-# Wait of each further VM before it records what an earlier one has not.
-RECORD_TURN_S = 0.4
 
 
 class Gateway:
@@ -147,7 +140,9 @@
             lambda: self._world.vms,
         )
         self._loads_sent_s = clock()
-        self._due_since: dict[tuple[int, str], float] = {}
+        self._recorder = move_recorder.MoveRecorder(
+            settings.vm_id, self._world, self._store, log, clock
+        )
 
     async def run(self) -> None:
         """Serves until a signal asks to stop, then stops gracefully."""
@@ -185,6 +180,7 @@
         stack = self._stack
         await self._store.open()
         stack.push_async_callback(self._store.close)
+        stack.callback(self._recorder.close)
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self._peers,
@@ -200,7 +196,15 @@
             self._peers.run(),
             self._front.run(),
             self._tick_forever(),
-            self._report_forever(),
+            state_report.run(
+                self._world,
+                self._traffic,
+                self._exchanges,
+                self._peers,
+                self._mirror,
+                self._sync,
+                self._log,
+            ),
             self._flush_forever(),
         ):
             task = asyncio.create_task(work)
@@ -309,37 +313,7 @@
             self._vms_in(None),
         )
         self._world.moves.merge([b.moves for b in beats])
-        self._record_moves(beats)
-
-    async def _report_forever(self) -> None:
-        """Logs what the VM believes, so that its decisions can be explained."""
-        while True:
-            await asyncio.sleep(REPORT_S)
-            registry = self._world.registry
-            self._log.write(
-                "state",
-                running=self._exchanges.running,
-                peers=self._peers.count() - 1,
-                revision=self._mirror.revision,
-                config=self._world.intent.version if self._world.intent else 0,
-                store_away=self._sync.is_away,
-                work_ms=self._traffic.work_ms(),
-                demand=self._traffic.demand(),
-                shares={
-                    name: self._traffic.shares(name)
-                    for name in self._traffic.demand()
-                },
-                upstreams={
-                    u.instance.id: [
-                        round(u.load(), 1),
-                        round(u.slowness, 2),
-                        u.in_flight,
-                        int(u.is_out),
-                        int(u.is_cold),
-                    ]
-                    for u in registry.all()
-                },
-            )
+        self._recorder.record_due(beats)
 
     def _regional(
         self, service: str, beats: list[beat_module.Beat]
@@ -352,48 +326,6 @@
             demand[region] = demand.get(region, 0.0) + added
         return demand
 
-    def _record_moves(self, beats: list[beat_module.Beat]) -> None:
-        """Records due states, one VM after the other until one succeeds."""
-        due = self._world.moves.to_record(
-            self._world.report_moves(), [b.moves for b in beats]
-        )
-        now_s = self._clock()
-        names = sorted([self._own.id, *(b.vm.id for b in beats)])
-        delay_s = names.index(self._own.id) * RECORD_TURN_S
-        current = {}
-        for order, phase in due:
-            key = (order.revision, phase.value)
-            since_s = self._due_since.get(key, now_s)
-            if now_s - since_s >= delay_s:
-                # The next try, if this one fails, comes a second later.
-                since_s = now_s + 1.0
-                task = asyncio.create_task(self._record(order, phase))
-                self._stack.callback(task.cancel)
-            current[key] = since_s
-        self._due_since = current
-
-    async def _record(
-        self,
-        order: rollout_order.RolloutOrder,
-        phase: rollout_state.RolloutPhase,
-    ) -> None:
-        service = order.service
-        try:
-            await self._store.put(
-                store_keys.ROLLOUT_STATES + service,
-                wire_rollout.encode_state(service, order.to_version, phase),
-                self._world.moves.state_revision(service),
-            )
-        except errors.StoreError as exc:
-            logging.info("state of the move of %s: %s", service, exc)
-            return
-        self._log.write(
-            "move.recorded",
-            service=service,
-            to_version=order.to_version,
-            phase=phase.value,
-        )
-
     def _take(self, item: kv_item.KvItem) -> None:
         self._peers.tell_news()
         fact = wire_facts.decode(item)
--- /dev/null
+++ b/src/bramleyworks/gateway/move_recorder.py
@@ -0,0 +1,101 @@
+"""Writes the states of version moves into the store."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from bramleyworks import errors
+from bramleyworks.gateway import beat as beat_module
+from bramleyworks.gateway import event_log
+from bramleyworks.gateway import rollout_order
+from bramleyworks.gateway import rollout_state
+from bramleyworks.gateway import world as world_module
+from bramleyworks.platform import kv_store
+from bramleyworks.platform import store_keys
+from bramleyworks.platform import wire_rollout
+
+# Wait of each further VM before it records what an earlier one has not.
+TURN_S = 0.4
+# Time from a try that failed to the next one.
+RETRY_S = 1.0
+
+
+class MoveRecorder:
+    """Records due states; VMs try one after the other until one succeeds."""
+
+    def __init__(
+        self,
+        own_id: str,
+        world: world_module.World,
+        store: kv_store.KvStore,
+        log: event_log.EventLog,
+        clock: Callable[[], float],
+    ):
+        """Takes the collaborators.
+
+        Args:
+            own_id: Name of this VM.
+            world: What the VM believes.
+            store: Client of the store.
+            log: Log of decisions.
+            clock: Monotonic time in seconds.
+        """
+        self._own_id = own_id
+        self._world = world
+        self._store = store
+        self._log = log
+        self._clock = clock
+        self._due_since: dict[tuple[int, str], float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def record_due(self, beats: list[beat_module.Beat]) -> None:
+        """Starts to record the states whose time has come.
+
+        Args:
+            beats: Newest heartbeats that cover all live peers.
+        """
+        due = self._world.moves.to_record(
+            self._world.report_moves(), [beat.moves for beat in beats]
+        )
+        now_s = self._clock()
+        names = sorted([self._own_id, *(beat.vm.id for beat in beats)])
+        delay_s = names.index(self._own_id) * TURN_S
+        current = {}
+        for order, phase in due:
+            key = (order.revision, phase.value)
+            since_s = self._due_since.get(key, now_s)
+            if now_s - since_s >= delay_s:
+                since_s = now_s + RETRY_S
+                task = asyncio.create_task(self._record(order, phase))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            current[key] = since_s
+        self._due_since = current
+
+    def close(self) -> None:
+        """Ends what is still being written."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _record(
+        self,
+        order: rollout_order.RolloutOrder,
+        phase: rollout_state.RolloutPhase,
+    ) -> None:
+        service = order.service
+        try:
+            await self._store.put(
+                store_keys.ROLLOUT_STATES + service,
+                wire_rollout.encode_state(service, order.to_version, phase),
+                self._world.moves.state_revision(service),
+            )
+        except errors.StoreError as exc:
+            logging.info("state of the move of %s: %s", service, exc)
+            return
+        self._log.write(
+            "move.recorded",
+            service=service,
+            to_version=order.to_version,
+            phase=phase.value,
+        )
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -183,7 +183,7 @@
 
         They are all peers in a small fleet, else those of the own region.
         """
-        live = [h.beat for h in self._heard.values() if self._is_fresh(h)]
+        live = self._fresh(self._heard.values())
         if self.is_flat:
             return live
         return [beat for beat in live if self._is_near(beat)]
@@ -193,8 +193,7 @@
         if self.is_flat:
             return self.near()
         believed = [self._summaries[n] for n in self._believed.values()]
-        far = [heard.beat for heard in believed if self._is_fresh(heard)]
-        return self.near() + far
+        return self.near() + self._fresh(believed)
 
     def count(self) -> int:
         """Returns the number of live VMs, this one included."""
@@ -283,7 +282,7 @@
     def _members(self, region: str) -> Mapping[str, str]:
         """Returns the VMs that a region's speaker named lately."""
         heard = self._summaries.get(self._believed.get(region, ""))
-        if heard is None or not self._is_fresh(heard):
+        if heard is None or not self._fresh([heard]):
             return {}
         return heard.beat.members
 
@@ -296,9 +295,10 @@
     def _is_near(self, beat: beat_module.Beat) -> bool:
         return beat.vm.region == self._own.region
 
-    def _is_fresh(self, heard: Heard) -> bool:
-        limit_s = MISSED_BEATS * self.interval_s
-        return heard.at_s >= self._clock() - limit_s
+    def _fresh(self, found: Iterable[Heard]) -> list[beat_module.Beat]:
+        """Returns the heartbeats that are young enough to count."""
+        oldest_s = self._clock() - MISSED_BEATS * self.interval_s
+        return [heard.beat for heard in found if heard.at_s >= oldest_s]
 
     def _forget(self) -> None:
         """Drops peers that have been silent for several times the limit."""
--- /dev/null
+++ b/src/bramleyworks/gateway/state_report.py
@@ -0,0 +1,50 @@
+"""Logs what a VM believes, so that its decisions can be explained."""
+
+import asyncio
+
+from bramleyworks.gateway import event_log
+from bramleyworks.gateway import exchange
+from bramleyworks.gateway import mirror as mirror_module
+from bramleyworks.gateway import peers as peers_module
+from bramleyworks.gateway import store_sync
+from bramleyworks.gateway import traffic as traffic_module
+from bramleyworks.gateway import world as world_module
+
+# Time between two lines.
+REPORT_S = 2.0
+
+
+async def run(
+    world: world_module.World,
+    traffic: traffic_module.Traffic,
+    exchanges: exchange.Exchanges,
+    peers: peers_module.Peers,
+    mirror: mirror_module.Mirror,
+    sync: store_sync.StoreSync,
+    log: event_log.EventLog,
+) -> None:
+    """Writes one line after the other until cancelled."""
+    while True:
+        await asyncio.sleep(REPORT_S)
+        demand = traffic.demand()
+        log.write(
+            "state",
+            running=exchanges.running,
+            peers=peers.count() - 1,
+            revision=mirror.revision,
+            config=world.intent.version if world.intent else 0,
+            store_away=sync.is_away,
+            work_ms=traffic.work_ms(),
+            demand=demand,
+            shares={name: traffic.shares(name) for name in demand},
+            upstreams={
+                u.instance.id: [
+                    round(u.load(), 1),
+                    round(u.slowness, 2),
+                    u.in_flight,
+                    int(u.is_out),
+                    int(u.is_cold),
+                ]
+                for u in world.registry.all()
+            },
+        )
