--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -131,7 +131,6 @@
                             run["id"],
                             name,
                             self._domains[name],
-                            "v2" if name in dict(NEW_VERSION) else "v1",
                             run["method"],
                             run["target"],
                             run["body"],
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -55,7 +55,6 @@
     request_id: str
     upstream: str
     domain: str
-    version: str
     method: str
     target: str
     body: str
