Bound the bytes of an upstream that belong to no response

Cause: a head, informational responses, trailers, a chunk extension or another request's response without end were read until the deadline, and header lines were kept in memory. A request line without a version was run. A response without a length that broke off on the way to an HTTP/1.0 caller ended like a complete one. A demand of 1e-18 slots counted as an overflow of nothing, so the plan kept it in a region without slots.

Versions other than 1.0 and 1.1 get 400. A partial response that ends with the connection is reset.

--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import socket
+import struct
 from collections.abc import Callable
 
 import httptools
@@ -15,6 +16,9 @@
 MAX_PIPELINED_REQUESTS = 16
 # The kernel drops the connection if sent data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 5000
+# Discards unsent data and resets the connection on close.
+LINGER_DISABLED = struct.pack("ii", 1, 0)
+HTTP_VERSIONS = ("1.0", "1.1")
 
 Handler = Callable[
     [request_module.Request, response_module.Response], asyncio.Task
@@ -205,6 +209,15 @@
         """Closes the connection at once."""
         self._transport.abort()
 
+    def reset(self) -> None:
+        """Closes the connection so that the caller sees an error."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._transport.is_closing():
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_DISABLED
+            )
+        self._transport.abort()
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight."""
@@ -222,6 +235,8 @@
         """
         if req.count(b"host") != 1:
             return 400, b"exactly one Host header is required"
+        if self._parser.get_http_version() not in HTTP_VERSIONS:
+            return 400, b"the HTTP version is missing or unsupported"
         if not req.target.startswith(b"/"):
             return 400, b"the target must be a path"
         lengths = req.count(b"content-length")
@@ -254,6 +269,7 @@
             self._drain,
             self._on_response_end,
             self.abort,
+            self.reset,
             is_http_10,
         )
 
--- a/src/bramleyworks/gateway/response.py
+++ b/src/bramleyworks/gateway/response.py
@@ -26,6 +26,7 @@
         drain: Callable[[], Awaitable[None]],
         on_end: Callable[["Response"], None],
         abort: Callable[[], None],
+        reset: Callable[[], None],
         is_http_10: bool,
     ):
         """Initializes a response that buffers until ``flush``.
@@ -35,6 +36,7 @@
             drain: Waits until the connection's send buffer has room.
             on_end: Called when the response is complete.
             abort: Closes the connection at once.
+            reset: Closes it so that the caller sees an error.
             is_http_10: Whether the caller uses HTTP/1.0, which has no chunked
                 coding.
         """
@@ -45,9 +47,11 @@
         self._drain = drain
         self._on_end = on_end
         self._abort = abort
+        self._reset = reset
         self._is_http_10 = is_http_10
         self._may_write = asyncio.Event()
         self._chunked = False
+        self._ends_with_connection = False
         self._buffered = bytearray()
 
     def write_head(
@@ -73,6 +77,7 @@
             if status not in (204, 304):
                 lines.append(b"content-length: %d" % length)
         elif self._is_http_10:
+            self._ends_with_connection = True
             self.closes_connection = True
         else:
             self._chunked = True
@@ -118,8 +123,13 @@
 
     def abort(self) -> None:
         """Closes the connection so that a partial response is detectable."""
-        if not self.ended:
-            self.ended = True
+        if self.ended:
+            return
+        self.ended = True
+        if self._ends_with_connection:
+            # A regular close would end it as a complete response.
+            self._reset()
+        else:
             self._abort()
 
     def flush(self) -> None:
--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -6,6 +6,7 @@
 import httptools
 
 from bramleyworks import errors
+from bramleyworks.gateway import excess_limit
 from bramleyworks.gateway import upstream_response
 from bramleyworks.platform import header_names
 
@@ -49,6 +50,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_skipping = False
         self._ends_with_connection = False
+        self._excess = excess_limit.ExcessLimit()
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -88,6 +90,7 @@
         self._request_id = request_id
         self._is_head_request = is_head
         self._body_sent = not has_body
+        self._excess.reset()
         self.exchange_count += 1
         self._transport.write(head)
         return self._response
@@ -121,6 +124,7 @@
             # An unsolicited response, or bytes that are not HTTP.
             self.abort()
             return
+        self._excess.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -131,6 +135,12 @@
         except httptools.HttpParserError as exc:
             self._fail_response("upstream.parse", str(exc))
             self.abort()
+        else:
+            if self._excess.is_exceeded and self._response is not None:
+                self._fail_response(
+                    "upstream.excess", "too many bytes beside the response"
+                )
+                self.abort()
 
     def eof_received(self) -> None:
         """Completes a response that is delimited by the connection close."""
@@ -181,8 +191,11 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Passes on bytes of the body."""
-        if not self._is_skipping and self._response is not None:
-            self._response.feed_body(chunk)
+        if self._is_skipping or self._response is None:
+            self._excess.add_discarded(len(chunk))
+            return
+        self._excess.add_body(len(chunk))
+        self._response.feed_body(chunk)
 
     def on_message_complete(self) -> None:
         """Completes the response."""
--- a/src/bramleyworks/policy/region_plan.py
+++ b/src/bramleyworks/policy/region_plan.py
@@ -5,6 +5,8 @@
 # Fraction of a region's slots that requests may fill before they overflow to
 # other regions; the rest absorbs bursts.
 TARGET_UTILISATION = 0.9
+# Demand in slots below which a region counts as having none.
+NEGLIGIBLE_DEMAND = 1e-9
 
 
 def plan(
@@ -41,7 +43,7 @@
         for name, need in wanted.items()
     }
     need = served * wanted.get(region, 0.0)
-    if need <= 0.0:
+    if need <= NEGLIGIBLE_DEMAND:
         if usable.get(region, 0.0) > 0.0:
             return {region: 1.0}
         return {
@@ -56,7 +58,7 @@
     }
     total_spare = sum(spare.values())
     overflow = need - local.get(region, 0.0)
-    if overflow <= 1e-9 or total_spare <= 0.0:
+    if overflow <= NEGLIGIBLE_DEMAND or total_spare <= 0.0:
         return {region: 1.0}
     shares = {region: local.get(region, 0.0) / need}
     for name, slots in spare.items():
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -73,6 +73,10 @@
     b"X-Api-Key: key-one\r\nContent-Length : 5\r\n\r\nhello",
     "long head": b"GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n"
     b"X-Api-Key: key-one\r\nX-Long: " + b"a" * 5000 + b"\r\n\r\n",
+    "no version": b"GET /stock/1\r\nHost: shop.example\r\n"
+    b"X-Api-Key: key-one\r\n\r\n",
+    "unknown version": b"GET /stock/1 HTTP/1.7\r\nHost: shop.example\r\n"
+    b"X-Api-Key: key-one\r\n\r\n",
     "absolute target": b"GET http://shop.example/stock/1 HTTP/1.1\r\n"
     b"Host: shop.example\r\nX-Api-Key: key-one\r\n\r\n",
 }
