Make the control work of a VM follow changes; check messages of other VMs

Apart from that, a heartbeat with a malformed address ended the process of each VM that got it, since one failed background task stops the process.

Change: PeerUsage keeps totals by differences; upstreams are indexed by region, version and address; an object's owner is kept while it stays the best; loads and shares are updated each 0.6 s in a large fleet; relays, interval and mesh are derived at most each 0.2 s; a follower looks for a newer copy only if one was reported; a state line holds 64 upstreams at most. Addresses and numbers of heartbeats and registrations are checked on receipt, and a background task that fails is logged and started again.

test_peers.py named its VMs by host names; they have IP addresses now, as the field says.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -5,6 +5,8 @@
 import signal
 import socket
 import time
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from absl import logging
 
@@ -34,8 +36,11 @@
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import wire_updates
 
-# Interval at which demand, shares and moves are updated.
+# Interval at which limits and moves are updated.
 TICK_INTERVAL_S = 0.2
+# Ticks between two updates that go through all upstreams: loads, demand and
+# shares. In a large fleet heartbeats are further apart than this anyway.
+TICKS_PER_SURVEY = 3
 # Longest time for which callers may cache a look-up. A stopping VM keeps
 # accepting connections for longer than this.
 LOOKUP_TTL_S = 2.0
@@ -43,6 +48,8 @@
 # then idle connections are closed, then the listening socket.
 STOP_IDLE_CLOSE_DELAY_S = 0.5
 STOP_LISTEN_DELAY_S = 2.5
+# Delay before a background task that failed is started again.
+TASK_RESTART_DELAY_S = 0.5
 # Part of the grace period that is reserved for the end of the process.
 STOP_MARGIN_S = 0.7
 
@@ -194,27 +201,43 @@
         await self._front.open(self._cfg.entry)
         stack.push_async_callback(self._front.close)
         await self._open_http()
-        for coro in (
-            self._sync.run(),
-            self._registration.run(),
-            self._peers.run(),
-            self._front.run(),
-            self._run_ticks(),
-            state_report.run(
-                self._cluster,
-                self._traffic,
-                self._exchanges,
-                self._peers,
-                self._replica,
-                self._sync,
-                self._log,
-            ),
-            self._run_flushes(),
+        for run in (
+            self._sync.run,
+            self._registration.run,
+            self._peers.run,
+            self._front.run,
+            self._run_ticks,
+            self._run_state_reports,
+            self._run_flushes,
         ):
-            task = asyncio.create_task(coro)
-            task.add_done_callback(self._check_task)
+            task = asyncio.create_task(self._supervise(run))
             stack.callback(task.cancel)
 
+    async def _run_state_reports(self) -> None:
+        await state_report.run(
+            self._cluster,
+            self._traffic,
+            self._exchanges,
+            self._peers,
+            self._replica,
+            self._sync,
+            self._log,
+        )
+
+    async def _supervise(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Runs a background task, and again after an unexpected error.
+
+        Requests are served meanwhile from what is known.
+        """
+        while True:
+            try:
+                await run()
+                return
+            except Exception as exc:
+                self._log.write("task.failed", error=repr(exc))
+                logging.exception("background task failed, started again")
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
     async def _open_http(self) -> None:
         """Opens all HTTP interfaces except the request path in one server."""
         directory = entry_app.create_directory_app(
@@ -241,7 +264,7 @@
             control_app.PortDispatcher(by_port), self._cfg.control
         )
         task = asyncio.create_task(server.serve(sockets=sockets))
-        task.add_done_callback(self._check_task)
+        task.add_done_callback(self._check_server)
         self._stack.callback(task.cancel)
 
     def _listen(self, address: str) -> socket.socket:
@@ -250,13 +273,13 @@
         self._stack.callback(sock.close)
         return sock
 
-    def _check_task(self, task: asyncio.Task) -> None:
-        """Stops the process when a background task has failed."""
+    def _check_server(self, task: asyncio.Task) -> None:
+        """Stops the process when the HTTP interfaces have failed."""
         if task.cancelled() or self._is_stopping:
             return
         exc = task.exception()
         self._log.write("task.failed", error=repr(exc))
-        logging.error("background task ended: %r", exc, exc_info=exc)
+        logging.error("HTTP server ended: %r", exc, exc_info=exc)
         self._stopping.set()
 
     async def _stop(self) -> None:
@@ -292,17 +315,43 @@
             await asyncio.sleep(0.05)
 
     async def _run_ticks(self) -> None:
+        ticks = 0
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._tick()
+            heartbeats = self._peers.live_heartbeats()
+            vm_count = self._known_vm_count(None)
+            self._update_limits(heartbeats, vm_count)
+            ticks += 1
+            if self._peers.is_full_mesh or ticks % TICKS_PER_SURVEY == 0:
+                self._survey_upstreams(heartbeats, vm_count)
 
     async def _run_flushes(self) -> None:
         while True:
             await asyncio.sleep(event_log.FLUSH_INTERVAL_S)
             self._log.flush()
 
-    def _tick(self) -> None:
-        heartbeats = self._peers.live_heartbeats()
+    def _update_limits(
+        self, heartbeats: list[heartbeat_module.Heartbeat], vm_count: int
+    ) -> None:
+        """Updates the limits of organisations and the states of moves."""
+        config = self._cluster.config
+        if config is not None:
+            self._quotas.prepare(config.organisations)
+        covered = 1 + sum(
+            max(1, heartbeat.covered_vms) for heartbeat in heartbeats
+        )
+        self._quotas.update_peers(
+            {f"{b.vm.id} {b.vm.incarnation}": b.usage for b in heartbeats},
+            max(0, vm_count - covered),
+            self._peers.propagation_s,
+        )
+        self._cluster.moves.merge_reports([b.moves for b in heartbeats])
+        self._recorder.record_due(heartbeats)
+
+    def _survey_upstreams(
+        self, heartbeats: list[heartbeat_module.Heartbeat], vm_count: int
+    ) -> None:
+        """Updates the loads of upstreams and the shares of regions."""
         in_flight: dict[str, float] = {}
         for heartbeat in heartbeats:
             for name, count in heartbeat.in_flight.items():
@@ -311,23 +360,14 @@
             upstream.peers_in_flight = in_flight.get(upstream.instance.id, 0.0)
             upstream.close_idle()
         config = self._cluster.config
-        if config is not None:
-            self._quotas.prepare(config.organisations.values())
-        self._quotas.update_peers(
-            {f"{b.vm.id} {b.vm.incarnation}": b.usage for b in heartbeats},
-            self._uncovered_vm_count(heartbeats),
-            self._peers.propagation_s,
-        )
         self._traffic.update(
             config.services if config else (),
             lambda service: self._peer_demand(service, heartbeats),
             lambda service: self._cluster.registry.capacity(
                 service, self._cluster.eligible_versions(service)
             ),
-            self._known_vm_count(None),
+            vm_count,
         )
-        self._cluster.moves.merge_reports([b.moves for b in heartbeats])
-        self._recorder.record_due(heartbeats)
 
     def _peer_demand(
         self, service: str, heartbeats: list[heartbeat_module.Heartbeat]
@@ -369,15 +409,6 @@
             return len(known)
         return sum(1 for found in known.values() if found == region)
 
-    def _uncovered_vm_count(
-        self, heartbeats: list[heartbeat_module.Heartbeat]
-    ) -> int:
-        """Returns the number of known VMs that no heartbeat covers."""
-        covered = 1 + sum(
-            max(1, heartbeat.covered_vms) for heartbeat in heartbeats
-        )
-        return max(0, self._known_vm_count(None) - covered)
-
     def _seed_controls(self) -> list[str]:
         found = [vm.control for vm in self._cluster.vms.values()]
         found.extend(self._cfg.seeds)
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -6,6 +6,8 @@
 datagram only makes the received state older.
 """
 
+import math
+
 import msgspec
 
 from bramleyworks.gateway import vm as vm_module
@@ -71,6 +73,21 @@
     covered_vms: int = 0
     is_full: bool = True
 
+    def check(self) -> None:
+        """Checks what decoding by type does not.
+
+        Raises:
+            ValueError: An address is malformed, or a number is impossible.
+        """
+        self.vm.check()
+        numbers = [self.store_age_s, *self.demand.values()]
+        for pairs in (self.usage, self.loads):
+            for pair in pairs.values():
+                numbers.extend(pair)
+        numbers.extend(self.in_flight.values())
+        if not all(number >= 0 and math.isfinite(number) for number in numbers):
+            raise ValueError("a number is negative or not finite")
+
 
 class DeltaEncoder:
     """Encodes the heartbeats of one sender as full ones and deltas."""
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -45,6 +45,8 @@
 # lost full one is received after this many at the latest.
 FULL_HEARTBEAT_EVERY = 6
 FULL_SUMMARY_EVERY = 4
+# Well below the interval of heartbeats, whose loss changes what is derived.
+DERIVED_MAX_AGE_S = 0.2
 # Shortest time between heartbeats that are sent early because of a change.
 MIN_INTERVAL_S = 0.05
 
@@ -62,6 +64,25 @@
     received_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Derived:
+    """Facts about the fleet, derived from the heartbeats at one time.
+
+    Attributes:
+        sizes: Numbers of received heartbeats and of registered VMs.
+        at_s: Monotonic time in seconds.
+        is_full_mesh: Whether every VM sends to every other.
+        peers: VMs that this one exchanges heartbeats with.
+        relays: Ids of the own region's relays in order of preference.
+    """
+
+    sizes: tuple[int, ...]
+    at_s: float
+    is_full_mesh: bool
+    peers: int
+    relays: tuple[str, ...]
+
+
 class Peers(asyncio.DatagramProtocol):
     """Sends this VM's heartbeats and keeps the latest one of each peer."""
 
@@ -102,6 +123,9 @@
         self._summary_encoder = heartbeat_module.DeltaEncoder(
             FULL_SUMMARY_EVERY
         )
+        self._newest_revision = 0
+        # Facts about the fleet, derived again when it changed or after a while.
+        self._derived = _Derived((), -math.inf, True, 0, ())
         self._sequence = 0
         self._last_sent_s = 0.0
         self._last_summary_s = -math.inf
@@ -111,20 +135,53 @@
     @property
     def is_full_mesh(self) -> bool:
         """Whether every VM sends to every other."""
-        known = {self._own.id, *self._received, *self._registered()}
-        return len(known) <= MAX_FULL_MESH_VMS
+        return self._derive().is_full_mesh
 
     @property
     def interval_s(self) -> float:
         """Seconds between two heartbeats."""
-        peers = sum(
-            1
+        return HEARTBEAT_INTERVAL_S * max(
+            1.0, self._derive().peers / MAX_PEERS_AT_FULL_RATE
+        )
+
+    @property
+    def newest_revision(self) -> int:
+        """Newest store revision that any heartbeat has reported."""
+        return self._newest_revision
+
+    def _derive(self) -> "_Derived":
+        """Returns facts about the fleet that are too costly for each use."""
+        registered = self._registered()
+        sizes = (len(self._received), len(registered))
+        now_s = self._clock()
+        known = self._derived
+        if known.sizes == sizes and now_s - known.at_s < DERIVED_MAX_AGE_S:
+            return known
+        ids = {self._own.id, *self._received, *registered}
+        is_full_mesh = len(ids) <= MAX_FULL_MESH_VMS
+        in_region = [
+            h.heartbeat
             for h in self._received.values()
             if self._is_same_region(h.heartbeat)
+        ]
+        peers = len(self._received) if is_full_mesh else len(in_region)
+        interval_s = HEARTBEAT_INTERVAL_S * max(
+            1.0, peers / MAX_PEERS_AT_FULL_RATE
         )
-        if self.is_full_mesh:
-            peers = len(self._received)
-        return HEARTBEAT_INTERVAL_S * max(1.0, peers / MAX_PEERS_AT_FULL_RATE)
+        oldest_s = now_s - MAX_MISSED_HEARTBEATS * interval_s
+        live = [
+            h.vm
+            for h in in_region
+            if self._received[h.vm.id].received_s >= oldest_s
+        ]
+        self._derived = _Derived(
+            sizes,
+            now_s,
+            is_full_mesh,
+            peers,
+            tuple(choose_relays(self._own.region, [*live, self._own])),
+        )
+        return self._derived
 
     @property
     def propagation_s(self) -> float:
@@ -143,7 +200,8 @@
             heartbeat = msgspec.msgpack.decode(
                 data, type=heartbeat_module.Heartbeat
             )
-        except msgspec.DecodeError as exc:
+            heartbeat.check()
+        except (msgspec.DecodeError, ValueError) as exc:
             logging.warning("malformed heartbeat from %s: %s", addr[0], exc)
             return
         if heartbeat.vm.id == self._own.id:
@@ -169,6 +227,7 @@
             # It has just started and needs a full heartbeat of this VM.
             self._heartbeat_encoder.reset()
         table[heartbeat.vm.id] = ReceivedHeartbeat(full, self._clock())
+        self._newest_revision = max(self._newest_revision, full.revision)
         self._upstreams.record_peer_loads(heartbeat.loads)
         if heartbeat.covered_vms:
             self._select_relay(full)
@@ -249,22 +308,17 @@
                 )
         return found
 
-    def relays(self) -> list[str]:
+    def relays(self) -> tuple[str, ...]:
         """Returns the ids of the own region's relays in order of preference."""
-        vms = [
-            heartbeat.vm
-            for heartbeat in self.direct_heartbeats()
-            if self._is_same_region(heartbeat)
-        ]
-        return choose_relays(self._own.region, [*vms, self._own])
+        return self._derive().relays
 
-    def heartbeat_age_s(self, vm_id: str) -> float:
-        """Returns the seconds since the latest heartbeat of a peer."""
+    def store_age_s(self, vm_id: str) -> float:
+        """Returns the seconds since the store last responded to a peer."""
         received = self._received.get(vm_id)
-        return (
-            math.inf
-            if received is None
-            else self._clock() - received.received_s
+        if received is None:
+            return math.inf
+        return received.heartbeat.store_age_s + (
+            self._clock() - received.received_s
         )
 
     def request_send(self) -> None:
@@ -343,8 +397,7 @@
     def _send_datagrams(self, addresses: set[str], data: bytes) -> None:
         for address in addresses:
             if address != self._own.peer:
-                host, _, port = address.rpartition(":")
-                self._transport.sendto(data, (host, int(port)))
+                self._transport.sendto(data, vm_module.split_address(address))
 
     def _is_same_region(self, heartbeat: heartbeat_module.Heartbeat) -> bool:
         return heartbeat.vm.region == self._own.region
--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -2,10 +2,10 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 from bramleyworks.gateway import organisation as organisation_module
+from bramleyworks.policy import peer_usage
 from bramleyworks.policy import shared_limit
 
 # Time constant of the moving average of demand.
@@ -64,6 +64,8 @@
         self._clock = clock
         self._meters: dict[str, _RateMeter] = {}
         self._limits: dict[str, shared_limit.SharedLimit] = {}
+        self._peers = peer_usage.PeerUsage()
+        self._prepared: Mapping[str, organisation_module.Organisation] = {}
         self._reported: collections.deque[
             tuple[float, dict[str, tuple[int, int]]]
         ] = collections.deque()
@@ -95,10 +97,13 @@
         return limit.admit(now_s)
 
     def prepare(
-        self, organisations: Iterable[organisation_module.Organisation]
+        self, organisations: Mapping[str, organisation_module.Organisation]
     ) -> None:
         """Creates the limits of organisations before their first request."""
-        for organisation in organisations:
+        if organisations is self._prepared:
+            return
+        self._prepared = organisations
+        for organisation in organisations.values():
             if organisation.rate_per_s > 0:
                 self._limit(organisation)
 
@@ -157,7 +162,8 @@
         """Updates the limits with the usage reported by peers.
 
         Args:
-            peers: Usage by organisation, for each VM or region and incarnation.
+            peers: Usage by organisation, for each VM or region and incarnation;
+                the same object for the same report.
             unreachable_vms: VMs that share the limits but send no reports.
             lag_s: Time after which peers have received what this VM reported.
         """
@@ -167,16 +173,16 @@
         own_usage: dict[str, tuple[int, int]] = {}
         if self._reported and self._reported[0][0] <= now_s - lag_s:
             own_usage = self._reported[0][1]
+        self._peers.update(peers)
         for name, limit in self._limits.items():
-            # Own usage is taken as old as that of the peers, so that the shares
-            # that all VMs compute add up to one.
-            own = _decode_usage(own_usage.get(name, NO_USAGE))
             limit.update(
-                own=own,
-                peers={
-                    vm: _decode_usage(peer_usage.get(name, NO_USAGE))
-                    for vm, peer_usage in peers.items()
-                },
+                # Own usage is taken as old as that of the peers, so that the
+                # shares that all VMs compute add up to one.
+                own=_decode_usage(own_usage.get(name, NO_USAGE)),
+                peers=_decode_usage(
+                    (self._peers.take_admitted(name), self._peers.demand(name))
+                ),
+                reporting=self._peers.peer_count,
                 unreachable=unreachable_vms,
                 now_s=now_s,
             )
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -1,8 +1,9 @@
 """The known upstreams and the choice of one for a request."""
 
-import functools
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 
 from absl import logging
@@ -12,9 +13,8 @@
 from bramleyworks.policy import placement
 from bramleyworks.policy import rendezvous
 
-# Upstreams of a region that own an object, that is, are expected to have it
-# cached. More copies would evict other objects from caches of unknown size.
-OWNERS_PER_REGION = 1
+# Objects whose owners are kept.
+MAX_KNOWN_OWNERS = 4096
 # Round trips that are assumed until a connection has measured them.
 DEFAULT_SAME_REGION_RTT_S = 0.002
 DEFAULT_OTHER_REGION_RTT_S = 0.07
@@ -46,11 +46,22 @@
         self._regions = regions
         self._clock = clock
         self._upstreams: dict[str, upstream_module.Upstream] = {}
-        self._by_service: dict[str, list[upstream_module.Upstream]] = {}
+        self._by_address: dict[tuple[str, int], upstream_module.Upstream] = {}
+        # Upstreams of each service by region, and their number by version.
+        self._by_service: dict[
+            str, dict[str, list[upstream_module.Upstream]]
+        ] = {}
+        self._versions: dict[str, collections.Counter[str]] = {}
         self._evacuated: set[str] = set()
         self._base_versions: dict[str, str] = {}
         self._rtt_s: dict[str, float] = {}
-        self._rank_owners = functools.lru_cache(maxsize=4096)(rendezvous.rank)
+        # The owner of each object among some upstreams of one region. More
+        # copies would evict other objects from caches of unknown size.
+        self._owners: collections.OrderedDict[
+            tuple[str, str], tuple[frozenset[str], str]
+        ] = collections.OrderedDict()
+        # Shared by the entries above to save memory.
+        self._last_names: dict[tuple[str, str], frozenset[str]] = {}
 
     def register(
         self, instance_id: str, instance: instance_module.Instance | None
@@ -66,7 +77,10 @@
             if known is not None:
                 self._remove(known)
             return
-        if known is not None and known.instance.service == instance.service:
+        if known is not None and _is_same_place(known.instance, instance):
+            self._versions[instance.service].update(
+                {instance.version: 1, known.instance.version: -1}
+            )
             known.register(instance)
         else:
             if known is not None:
@@ -74,16 +88,20 @@
             self._add(instance)
 
     def _add(self, instance: instance_module.Instance) -> None:
-        for other in list(self._upstreams.values()):
-            # An address belongs to the latest registration that has it.
-            if (other.instance.host, other.instance.port) == (
-                instance.host,
-                instance.port,
-            ):
-                self._remove(other)
+        address = (instance.host, instance.port)
+        # An address belongs to the latest registration that has it.
+        other = self._by_address.get(address)
+        if other is not None:
+            self._remove(other)
         added = upstream_module.Upstream(instance, self._clock)
         self._upstreams[instance.id] = added
-        self._by_service.setdefault(instance.service, []).append(added)
+        self._by_address[address] = added
+        self._by_service.setdefault(instance.service, {}).setdefault(
+            self.region_of(added), []
+        ).append(added)
+        self._versions.setdefault(
+            instance.service, collections.Counter()
+        ).update({instance.version: 1})
         logging.info(
             "upstream %s of %s added in %s with version %s",
             instance.id,
@@ -93,10 +111,13 @@
         )
 
     def _remove(self, known: upstream_module.Upstream) -> None:
-        del self._upstreams[known.instance.id]
-        self._by_service[known.instance.service].remove(known)
+        instance = known.instance
+        del self._upstreams[instance.id]
+        del self._by_address[instance.host, instance.port]
+        self._by_service[instance.service][self.region_of(known)].remove(known)
+        self._versions[instance.service].update({instance.version: -1})
         known.close()
-        logging.info("upstream %s removed", known.instance.id)
+        logging.info("upstream %s removed", instance.id)
 
     def evacuate(self, failure_domain: str, is_active: bool) -> None:
         """Starts or ends the evacuation of a failure domain."""
@@ -118,6 +139,11 @@
         """Returns all upstreams."""
         return self._upstreams.values()
 
+    @property
+    def count(self) -> int:
+        """Number of known upstreams."""
+        return len(self._upstreams)
+
     def region_of(self, upstream: upstream_module.Upstream) -> str:
         """Returns the region of an upstream, empty if it is unknown."""
         return self._regions.get(upstream.instance.failure_domain, "")
@@ -141,7 +167,8 @@
 
     def running_versions(self, service: str) -> set[str]:
         """Returns the versions that a service's upstreams run."""
-        return {u.instance.version for u in self._by_service.get(service, ())}
+        counts = self._versions.get(service, {})
+        return {version for version, count in counts.items() if count > 0}
 
     def base_version(self, service: str) -> str | None:
         """Returns the version that serves while no move is ordered.
@@ -150,11 +177,8 @@
         upstreams of other versions get no requests until a move is ordered.
         """
         known = self._base_versions.get(service)
-        counts: dict[str, int] = {}
-        for upstream in self._by_service.get(service, ()):
-            version = upstream.instance.version
-            counts[version] = counts.get(version, 0) + 1
-        if known is None and counts:
+        if known is None and self.running_versions(service):
+            counts = self._versions[service]
             known = max(counts, key=lambda version: (counts[version], version))
             self._base_versions[service] = known
         return known
@@ -163,26 +187,40 @@
         """Sets the version that serves after a finished move."""
         self._base_versions[service] = version
 
+    def regions(self, service: str) -> Iterable[str]:
+        """Returns the regions that have upstreams of a service."""
+        return self._by_service.get(service, {}).keys()
+
     def usable_upstreams(
-        self, service: str, versions: set[str]
-    ) -> list[upstream_module.Upstream]:
-        """Returns the upstreams of a service that may get requests."""
-        return [
-            u
-            for u in self._by_service.get(service, ())
-            if not u.instance.is_draining
-            and u.instance.version in versions
-            and u.instance.failure_domain not in self._evacuated
-            and not u.is_excluded
-        ]
+        self, service: str, region: str, versions: set[str]
+    ) -> Iterator[upstream_module.Upstream]:
+        """Yields the upstreams of a service that may get requests.
+
+        Args:
+            service: Name of the service.
+            region: Region of the upstreams.
+            versions: Versions that requests may be sent to.
+        """
+        for upstream in self._by_service.get(service, {}).get(region, ()):
+            instance = upstream.instance
+            if (
+                not instance.is_draining
+                and instance.version in versions
+                and instance.failure_domain not in self._evacuated
+                and not upstream.is_excluded
+            ):
+                yield upstream
 
     def capacity(self, service: str, versions: set[str]) -> dict[str, float]:
         """Returns the effective slots of the usable upstreams by region."""
         slots: dict[str, float] = {}
-        for upstream in self.usable_upstreams(service, versions):
-            region = self.region_of(upstream)
-            effective = upstream.instance.slots / max(1.0, upstream.slowness)
-            slots[region] = slots.get(region, 0.0) + effective
+        for region in self.regions(service):
+            found = [
+                u.instance.slots / max(1.0, u.slowness)
+                for u in self.usable_upstreams(service, region, versions)
+            ]
+            if found:
+                slots[region] = sum(found)
         return slots
 
     def load_reports(self, since_s: float) -> dict[str, tuple[int, int]]:
@@ -219,18 +257,21 @@
 
     def choose(
         self,
+        region: str,
         candidates: list[upstream_module.Upstream],
         object_key: str,
         demand: placement.Demand,
     ) -> placement.Choice:
-        """Chooses the best of some upstreams of one service.
+        """Chooses the best of some upstreams of one service and region.
 
         Args:
+            region: Region of the upstreams.
             candidates: Upstreams to choose from.
             object_key: Object of the request, empty for none.
             demand: What the request needs.
         """
-        owners = self._owners(candidates, object_key)
+        owner = self._owner(region, candidates, object_key)
+        rtt_s = self.rtt_s(region)
         return placement.choose(
             [
                 placement.Candidate(
@@ -238,34 +279,57 @@
                     load=u.load()
                     + (u.instance.slots if u.is_backing_off else 0),
                     slots=u.instance.slots,
-                    rtt_s=self.rtt_s(self.region_of(u)),
+                    rtt_s=rtt_s,
                     slowness=u.slowness,
                     is_warm=not object_key
-                    or u.instance.id in owners
+                    or u.instance.id == owner
                     or u.has_cached(object_key),
-                    is_home=not object_key or u.instance.id in owners,
+                    is_home=not object_key or u.instance.id == owner,
                 )
                 for u in candidates
             ],
             demand,
         )
 
-    def _owners(
-        self, candidates: list[upstream_module.Upstream], object_key: str
-    ) -> set[str]:
-        if not object_key:
-            return set()
-        by_region: dict[str, list[str]] = {}
-        for upstream in candidates:
-            by_region.setdefault(self.region_of(upstream), []).append(
-                upstream.instance.id
-            )
-        found: set[str] = set()
-        for names in by_region.values():
-            found.update(
-                self._rank_owners(object_key, tuple(names))[:OWNERS_PER_REGION]
-            )
-        return found
+    def _owner(
+        self,
+        region: str,
+        candidates: list[upstream_module.Upstream],
+        object_key: str,
+    ) -> str:
+        """Returns the upstream that should have an object cached.
+
+        Empty if there is no object. The known owner stays valid while the set
+        of upstreams is the same, or has lost others than the owner.
+        """
+        if not object_key or not candidates:
+            return ""
+        names = frozenset(u.instance.id for u in candidates)
+        key = (object_key, region)
+        known = self._owners.get(key)
+        if known is not None and known[1] in names and names <= known[0]:
+            self._owners.move_to_end(key)
+            return known[1]
+        owner = max(names, key=lambda name: rendezvous.weight(object_key, name))
+        service = candidates[0].instance.service
+        if names != self._last_names.get((service, region)):
+            self._last_names[service, region] = names
+        self._owners[key] = (self._last_names[service, region], owner)
+        if len(self._owners) > MAX_KNOWN_OWNERS:
+            self._owners.popitem(last=False)
+        return owner
+
+
+def _is_same_place(
+    one: instance_module.Instance, other: instance_module.Instance
+) -> bool:
+    """Returns whether two registrations have the same service and address."""
+    return (one.service, one.host, one.port, one.failure_domain) == (
+        other.service,
+        other.host,
+        other.port,
+        other.failure_domain,
+    )
 
 
 def _encode_loads(
--- a/src/bramleyworks/gateway/state_report.py
+++ b/src/bramleyworks/gateway/state_report.py
@@ -1,6 +1,7 @@
 """Logs the state of a VM so that its decisions can be explained."""
 
 import asyncio
+import heapq
 
 from bramleyworks.gateway import cluster_state as cluster_state_module
 from bramleyworks.gateway import event_log
@@ -9,8 +10,11 @@
 from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.gateway import store_sync
 from bramleyworks.gateway import traffic as traffic_module
+from bramleyworks.gateway import upstream as upstream_module
 
 REPORT_INTERVAL_S = 2.0
+# Bounds the length of a line.
+MAX_REPORTED_UPSTREAMS = 64
 
 
 async def run(
@@ -44,6 +48,20 @@
                     int(u.is_excluded),
                     int(u.is_cold),
                 ]
-                for u in cluster.registry.all()
+                for u in _select(list(cluster.registry.all()))
             },
+            known_upstreams=cluster.registry.count,
         )
+
+
+def _select(
+    upstreams: list[upstream_module.Upstream],
+) -> list[upstream_module.Upstream]:
+    """Returns the upstreams to report: excluded and busy ones go first."""
+    if len(upstreams) <= MAX_REPORTED_UPSTREAMS:
+        return upstreams
+    return heapq.nlargest(
+        MAX_REPORTED_UPSTREAMS,
+        upstreams,
+        key=lambda u: (u.is_excluded, u.in_flight),
+    )
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -148,12 +148,9 @@
         """Returns whether this VM copies from a relay and need not watch."""
         if self._peers.is_full_mesh:
             return False
-        ages = {
-            heartbeat.vm.id: heartbeat.store_age_s
-            + self._peers.heartbeat_age_s(heartbeat.vm.id)
-            for heartbeat in self._peers.direct_heartbeats()
-        }
-        return follows_relay(self._own_id, self._peers.relays(), ages)
+        relays = self._peers.relays()
+        ages = {name: self._peers.store_age_s(name) for name in relays}
+        return follows_relay(self._own_id, relays, ages)
 
     def _record_success(self) -> None:
         now_s = self._clock()
@@ -228,6 +225,11 @@
 
     async def _copy_from_peer(self) -> None:
         """Copies from a peer with a newer revision, if there is one."""
+        if (
+            self.has_data
+            and self._peers.newest_revision <= self._replica.revision
+        ):
+            return
         ahead = [
             heartbeat.vm.control
             for heartbeat in self._peers.direct_heartbeats()
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -318,6 +318,8 @@
 
     def close_idle(self) -> None:
         """Closes connections that have been idle longer than ``MAX_IDLE_S``."""
+        if not self._conns:
+            return
         limit = self._clock() - MAX_IDLE_S
         remaining = []
         for conn in self._conns:
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -68,18 +68,6 @@
         move_version = self._cluster.moves.choose_version(
             ctx.service, ctx.route.name, ctx.object_key, base_version
         )
-        usable = [
-            u
-            for u in registry.usable_upstreams(ctx.service, versions)
-            if u.instance.id not in tried
-            and (not ctx.regions or registry.region_of(u) in ctx.regions)
-            and not (u.is_cold and registry.region_of(u) != self._region)
-        ]
-        if move_version is not None:
-            matching = [u for u in usable if u.instance.version == move_version]
-            usable = matching or [
-                u for u in usable if u.instance.version == base_version
-            ]
         now_s = self._clock()
         demand = placement.Demand(
             cold_work_s=self.work_s(ctx, False),
@@ -90,10 +78,25 @@
                 min(ctx.priority, len(SLACK_FRACTION_BY_PRIORITY) - 1)
             ],
         )
-        by_region: dict[str, list[upstream_module.Upstream]] = {}
-        for upstream in usable:
-            region = registry.region_of(upstream)
-            by_region.setdefault(region, []).append(upstream)
+        by_region = {
+            region: found
+            for region in registry.regions(ctx.service)
+            if not ctx.regions or region in ctx.regions
+            if (
+                found := [
+                    u
+                    for u in registry.usable_upstreams(
+                        ctx.service, region, versions
+                    )
+                    if u.instance.id not in tried
+                    and (region == self._region or not u.is_cold)
+                ]
+            )
+        }
+        if move_version is not None:
+            by_region = _of_version(by_region, move_version) or _of_version(
+                by_region, base_version
+            )
         first_rejected = placement.NO_CHOICE
         preferred = self._traffic.next_region(
             ctx.service, ctx.object_key, set(by_region)
@@ -104,7 +107,7 @@
         )
         for region in regions:
             selected, choice = self._choose_in_region(
-                ctx, by_region[region], demand
+                ctx, region, by_region[region], demand
             )
             if selected is not None and (
                 region == preferred
@@ -119,6 +122,7 @@
     def _choose_in_region(
         self,
         ctx: request_context.RequestContext,
+        region: str,
         candidates: list[upstream_module.Upstream],
         demand: placement.Demand,
     ) -> tuple[upstream_module.Upstream | None, placement.Choice]:
@@ -127,7 +131,7 @@
         choice = placement.NO_CHOICE
         remaining = list(candidates)
         while remaining:
-            choice = registry.choose(remaining, ctx.object_key, demand)
+            choice = registry.choose(region, remaining, ctx.object_key, demand)
             if choice.id is None:
                 return None, choice
             selected = registry.get(choice.id)
@@ -148,3 +152,14 @@
             * service_config.cold_per_s
             / max(1, self._vm_count(self._region))
         )
+
+
+def _of_version(
+    by_region: dict[str, list[upstream_module.Upstream]], version: str | None
+) -> dict[str, list[upstream_module.Upstream]]:
+    """Returns the upstreams that run a version, by region."""
+    return {
+        region: matching
+        for region, found in by_region.items()
+        if (matching := [u for u in found if u.instance.version == version])
+    }
--- a/src/bramleyworks/gateway/vm.py
+++ b/src/bramleyworks/gateway/vm.py
@@ -1,6 +1,7 @@
 """Identity and addresses of an entry VM."""
 
 import dataclasses
+import ipaddress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,3 +27,26 @@
     control: str
     peer: str
     link_mbps: float = 0.0
+
+    def check(self) -> None:
+        """Checks the addresses, which other VMs connect and send to.
+
+        Raises:
+            ValueError: An address is not of the form ``IP:PORT``.
+        """
+        for address in (self.entry, self.control, self.peer):
+            split_address(address)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of an address.
+
+    Raises:
+        ValueError: It is not of the form ``IP:PORT``.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    number = int(port)
+    if not 0 < number < 2**16:
+        raise ValueError(f"port {number} is out of range")
+    return host, number
--- a/src/bramleyworks/platform/wire_updates.py
+++ b/src/bramleyworks/platform/wire_updates.py
@@ -86,7 +86,9 @@
     if item.value is None:
         return None
     try:
-        return msgspec.json.decode(item.value, type=vm.Vm)
-    except msgspec.DecodeError as exc:
+        entry = msgspec.json.decode(item.value, type=vm.Vm)
+        entry.check()
+    except (msgspec.DecodeError, ValueError) as exc:
         logging.warning("%s: %s", item.key, exc)
         return None
+    return entry
--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -9,7 +9,6 @@
 """
 
 import dataclasses
-from collections.abc import Mapping
 
 # Fraction of the level that is divided evenly regardless of demand, so that a
 # VM can admit the first requests of an organisation.
@@ -38,11 +37,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
-    """A VM's reported usage of a limit.
+    """Reported usage of a limit.
 
     Attributes:
-        admitted: Number of requests admitted since its start.
-        demand_per_s: Requests per second that it was asked to admit.
+        admitted: Number of requests admitted.
+        demand_per_s: Requests per second that were to be admitted.
     """
 
     admitted: int
@@ -72,7 +71,6 @@
         self._excess = excess
         self._level = INITIAL_LEVEL * burst
         self._refilled_s = now_s
-        self._peer_admitted: dict[str, int] = {}
         self._own_reported = 0
         self._own_admitted = 0
         self._share = 0.0
@@ -101,7 +99,8 @@
     def update(
         self,
         own: Usage,
-        peers: Mapping[str, Usage],
+        peers: Usage,
+        reporting: int,
         unreachable: int,
         now_s: float,
     ) -> None:
@@ -109,34 +108,30 @@
 
         Args:
             own: Usage of this VM that the peers have received.
-            peers: Latest usage of each peer, by VM or region and incarnation.
+            peers: What all peers together admitted since the last update, and
+                their present demand. What a peer admitted before its first
+                report is accounted for in the initial level.
+            reporting: Number of peers, or summaries, that report.
             unreachable: Number of further peers that may admit requests but
                 whose reports are not received.
             now_s: Monotonic time in seconds.
         """
-        reporting = len(peers) + 1
-        vms = reporting + unreachable
-        self._reporting_fraction = reporting / vms
-        spent = own.admitted - self._own_reported
+        vms = reporting + 1 + unreachable
+        self._reporting_fraction = (reporting + 1) / vms
+        spent = own.admitted - self._own_reported + peers.admitted
         self._own_reported = own.admitted
-        for name, usage in peers.items():
-            # What a peer admitted before its first report is accounted for
-            # in the initial level.
-            known = self._peer_admitted.get(name, usage.admitted)
-            spent += max(0, usage.admitted - known)
-            self._peer_admitted[name] = usage.admitted
         self._refill(now_s)
         floor = -self._burst - MAX_DEBT_S * self._rate
         self._level = max(floor, self._level - spent)
         self._even_share = 1.0 / vms
-        total_demand = own.demand_per_s + sum(
-            peer.demand_per_s for peer in peers.values()
-        )
+        total_demand = own.demand_per_s + peers.demand_per_s
         self._is_relaxed = total_demand <= (
             RELAXED_MAX_DEMAND * self._rate
             + RELAXED_EXCESS_PER_S * self._excess
         )
-        self._share = _own_share(own.demand_per_s, peers, unreachable)
+        self._share = _own_share(
+            own.demand_per_s, total_demand, reporting + 1, vms
+        )
 
     def admit(self, now_s: float) -> float:
         """Admits or rejects a request.
@@ -174,13 +169,18 @@
 
 
 def _own_share(
-    own_per_s: float, peers: Mapping[str, Usage], unreachable: int
+    own_per_s: float, known_per_s: float, reporting: int, vms: int
 ) -> float:
-    """Returns the fraction of the level that this VM may use alone."""
-    reporting = len(peers) + 1
-    known = own_per_s + sum(usage.demand_per_s for usage in peers.values())
-    total = known + unreachable * known / reporting
-    even = 1.0 / (reporting + unreachable)
+    """Returns the fraction of the level that this VM may use alone.
+
+    Args:
+        own_per_s: Demand of this VM.
+        known_per_s: Demand of all VMs that report, with this one.
+        reporting: Number of VMs that report, with this one.
+        vms: Number of all VMs.
+    """
+    total = known_per_s + (vms - reporting) * known_per_s / reporting
+    even = 1.0 / vms
     if total <= 0.0:
         return even
     return EVEN_FRACTION * even + (1 - EVEN_FRACTION) * own_per_s / total
--- a/tests/gateway/test_load_reports.py
+++ b/tests/gateway/test_load_reports.py
@@ -85,7 +85,7 @@
         self.schedule(self.now_s + self.rng.expovariate(rate), self.request)
         vm = self.rng.choice(self.vms)
         key = f"stock/{self.rng.randrange(280)}"
-        choice = vm.choose(list(vm.all()), key, DEMAND)
+        choice = vm.choose("one", list(vm.all()), key, DEMAND)
         if choice.id is None:
             self.refused_count += 1
             return
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -22,17 +22,20 @@
         self.cross_region_bytes = 0
         self.usage = lambda name, number: {"org": (number, 3)}
         self.vms = {}
+        self.names = {}
         for region, size in sizes.items():
             for number in range(size):
                 name = f"{region}-{number}"
+                host = f"10.0.{len(self.vms) // 250}.{len(self.vms) % 250 + 1}"
+                self.names[host] = name
                 self.vms[name] = vm.Vm(
                     name,
                     1,
                     region,
                     f"{region}-{'ab'[number % 2]}",
-                    f"{name}:1",
-                    "",
-                    f"{name}:2",
+                    f"{host}:1",
+                    f"{host}:3",
+                    f"{host}:2",
                     (link_mbps or {}).get(name, 10.0),
                 )
         self.down = set()
@@ -83,12 +86,11 @@
     def sendto(self, data, addr):
         self._network.sent[self._name] += 1
         self._network.bytes += len(data)
-        if addr[0].partition("-")[0] != self._name.partition("-")[0]:
+        target = self._network.names[addr[0]]
+        if target.partition("-")[0] != self._name.partition("-")[0]:
             self._network.cross_region_bytes += len(data)
-        if addr[0] not in self._network.down:
-            self._network.nodes[addr[0]].datagram_received(
-                data, (self._name, 2)
-            )
+        if target not in self._network.down:
+            self._network.nodes[target].datagram_received(data, (self._name, 2))
 
 
 def test_small_fleet_is_a_full_mesh():
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -33,7 +33,7 @@
         quotas.Quotas(WINDOW_S, OVER, SLACK, lambda: now[0]) for _ in range(vms)
     ]
     for one in fleet:
-        one.prepare([org])
+        one.prepare({"org": org})
     # The configuration arrives some seconds before the first request.
     now[0] = 5.0
     history = []
