Refuse a response that names no request on a reused connection

Cause: a late copy of a response was recognised by its request id only if it carried one. Without it, the next caller on the connection got it as its own. A VM that starts while the store is away copied from any peer, also from one that was cut off and knows less than others.

Change: a signed response without id on a connection that was used before ends the exchange with upstream.unidentified; unsigned refusals need no id, as the users' examples show them without. A VM without data copies only from the peers with the newest revision.

--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -230,11 +230,14 @@
             and self._peers.newest_revision <= self._replica.revision
         ):
             return
-        ahead = [
-            heartbeat.vm.control
-            for heartbeat in self._peers.direct_heartbeats()
-            if heartbeat.revision > self._replica.revision
-        ]
+        ahead = sources(
+            {
+                heartbeat.vm.control: heartbeat.revision
+                for heartbeat in self._peers.direct_heartbeats()
+            },
+            self._replica.revision,
+            self.has_data,
+        )
         if not ahead and not self.has_data:
             ahead = self._seeds()
         if not ahead:
@@ -266,6 +269,28 @@
         )
 
 
+def sources(
+    revisions: Mapping[str, int], own_revision: int, has_data: bool
+) -> list[str]:
+    """Returns the control addresses of peers to copy from.
+
+    A VM that has just started takes the newest state only: an older one may
+    list upstreams that have left and keys that were withdrawn.
+
+    Args:
+        revisions: Store revision of each peer by control address.
+        own_revision: Revision of this VM's replica.
+        has_data: Whether the replica has been filled.
+    """
+    if not has_data:
+        own_revision = max([own_revision, *(r - 1 for r in revisions.values())])
+    return [
+        address
+        for address, revision in revisions.items()
+        if revision > own_revision
+    ]
+
+
 def follows_relay(
     own_id: str, relays: Sequence[str], ages: Mapping[str, float]
 ) -> bool:
--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -176,6 +176,20 @@
             return
         headers = dict(self._headers)
         echoed = headers.get(header_names.REQUEST_ID)
+        if (
+            echoed is None
+            and self._request_id
+            and self.exchange_count > 1
+            and header_names.SIGNATURE in headers
+        ):
+            # It may be a late copy of the response to an earlier request.
+            # Refusals are unsigned and need not name their request.
+            self._is_skipping = True
+            self._fail_response(
+                "upstream.unidentified", "the response names no request"
+            )
+            self.abort()
+            return
         if echoed is not None and echoed != self._request_id:
             # An extra response to an earlier request; the right one follows.
             self._is_skipping = True
