--- a/src/bramleyworks_lab/capacity/registry.py
+++ b/src/bramleyworks_lab/capacity/registry.py
@@ -2,6 +2,7 @@
 
 from bramleyworks_lab.capacity import audit_cost
 from bramleyworks_lab.capacity import config_cost
+from bramleyworks_lab.capacity import gateway_cost
 from bramleyworks_lab.capacity import health_cost
 from bramleyworks_lab.capacity import ledger_cost
 from bramleyworks_lab.capacity import lookup_cost
@@ -21,4 +22,5 @@
     *health_cost.MEASUREMENTS,
     *member_cost.MEASUREMENTS,
     *audit_cost.MEASUREMENTS,
+    *gateway_cost.MEASUREMENTS,
 )
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -1,47 +1,39 @@
 """Guards against responses that broke off and look complete to the caller."""
 
 import asyncio
-import contextlib
 
 import pytest
 from support import platform_fleet
-from support import ports
+from support import raw_upstream
 
 # More than the gateway reads before it forwards the first byte.
 SENT_BYTES = 600_000
 
 
-async def _serve_half(reader, writer):
+class HalfUpstream(raw_upstream.RawUpstream):
     """Sends part of a chunked response and ends the connection."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    request_id = next(
-        line.partition(b":")[2].strip()
-        for line in head.split(b"\r\n")
-        if line.lower().startswith(b"x-bramleyworks-attempt-id:")
-    )
-    writer.write(
-        b"HTTP/1.1 200 OK\r\nX-Bramleyworks-Response-Seal: 1\r\n"
-        b"X-Bramleyworks-Attempt-Id: %b\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n" % request_id
-    )
-    with contextlib.suppress(ConnectionError):
+
+    async def respond(self, reader, writer):
+        request_id = await raw_upstream.read_request_id(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Bramleyworks-Response-Seal: 1\r\n"
+            b"X-Bramleyworks-Attempt-Id: %b\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" % request_id
+        )
         writer.write(b"%x\r\n%b\r\n" % (SENT_BYTES, b"a" * SENT_BYTES))
         await writer.drain()
         await asyncio.sleep(0.2)
-    writer.close()
 
 
 @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
 async def test_partial_response_does_not_look_complete(tmp_path, version):
     """A caller without chunked coding sees only how the connection ends."""
-    address = f"127.0.0.1:{ports.free_port()}"
-    host, _, port = address.rpartition(":")
-    server = await asyncio.start_server(_serve_half, host, int(port))
+    upstream = HalfUpstream()
     received = b""
     is_reset = False
-    async with server, platform_fleet.Fleet(tmp_path) as fleet:
+    async with upstream.serving(), platform_fleet.Fleet(tmp_path) as fleet:
         await fleet.write_store({"op/config": platform_fleet.config(1)})
-        fleet.upstreams["half"] = (address, None)
+        fleet.upstreams["half"] = (upstream.address, None)
         await fleet.register("half")
         vm = await fleet.add_vm()
         await fleet.wait_for_upstreams(vm, 1)
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -13,7 +13,7 @@
 import aiohttp
 import pytest
 from support import platform_fleet
-from support import ports
+from support import raw_upstream
 
 MAX_GROWTH_MB = 20
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -64,39 +64,32 @@
 ]
 
 
-class EndlessUpstream:
+class EndlessUpstream(raw_upstream.RawUpstream):
     """Sends a start and then the same bytes until its connection closes.
 
     Attributes:
-        address: Its address.
         requests: Requests received.
-        closed: Whether its latest connection was closed by the gateway.
+        closed: Set when a connection was closed by the gateway.
     """
 
     def __init__(self, build):
-        self.address = f"127.0.0.1:{ports.free_port()}"
+        super().__init__()
         self.requests = 0
         self.closed = asyncio.Event()
         self._build = build
 
-    @contextlib.asynccontextmanager
-    async def serving(self):
-        host, _, port = self.address.rpartition(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
-        async with server:
-            yield self
-
-    async def _serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
+    async def respond(self, reader, writer):
+        start, repeated = self._build(
+            await raw_upstream.read_request_id(reader)
+        )
         self.requests += 1
-        found = re.search(rb"(?i)attempt-id: *(\S+)", head)
-        start, repeated = self._build(found.group(1))
-        with contextlib.suppress(ConnectionError):
+        try:
             writer.write(start)
             while True:
                 writer.write(repeated)
                 await writer.drain()
-        self.closed.set()
+        finally:
+            self.closed.set()
 
 
 def _resident_mb(process):
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -1,60 +1,41 @@
 """Guards against a late copy of a response that another caller gets."""
 
 import asyncio
-import contextlib
 
 import pytest
 from support import platform_fleet
-from support import ports
+from support import raw_upstream
 
 COPIED_BODY = b"of the first"
 
 
-class CopyingUpstream:
+class CopyingUpstream(raw_upstream.RawUpstream):
     """Sends its first response again when the second request has arrived."""
 
     def __init__(self, copies_name_request):
-        self.address = f"127.0.0.1:{ports.free_port()}"
+        super().__init__()
         self._copies_name_request = copies_name_request
 
-    @contextlib.asynccontextmanager
-    async def serving(self):
-        host, _, port = self.address.rpartition(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
-        async with server:
-            yield self
-
-    def _response(self, request_id, body, is_named=True):
-        fields = [
-            b"HTTP/1.1 200 OK",
-            b"X-Bramleyworks-Response-Seal: 1",
-            b"Content-Length: %d" % len(body),
-        ]
-        if is_named:
-            fields.append(b"X-Bramleyworks-Attempt-Id: " + request_id)
-        return b"\r\n".join(fields) + b"\r\n\r\n" + body
-
-    async def _serve(self, reader, writer):
-        first_id = None
-        with contextlib.suppress(ConnectionError, EOFError):
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                request_id = next(
-                    line.partition(b":")[2].strip()
-                    for line in head.split(b"\r\n")
-                    if line.lower().startswith(b"x-bramleyworks-attempt-id:")
-                )
-                if first_id is None:
-                    first_id = request_id
-                    writer.write(self._response(request_id, COPIED_BODY))
-                    continue
-                writer.write(
-                    self._response(
-                        first_id, COPIED_BODY, self._copies_name_request
-                    )
-                )
-                await asyncio.sleep(0.05)
-                writer.write(self._response(request_id, b"own"))
-        writer.close()
+    async def respond(self, reader, writer):
+        first_id = await raw_upstream.read_request_id(reader)
+        writer.write(_response(first_id, COPIED_BODY))
+        while True:
+            request_id = await raw_upstream.read_request_id(reader)
+            copied_id = first_id if self._copies_name_request else None
+            writer.write(_response(copied_id, COPIED_BODY))
+            await asyncio.sleep(0.05)
+            writer.write(_response(request_id, b"own"))
+
+
+def _response(request_id, body):
+    fields = [
+        b"HTTP/1.1 200 OK",
+        b"X-Bramleyworks-Response-Seal: 1",
+        b"Content-Length: %d" % len(body),
+    ]
+    if request_id is not None:
+        fields.append(b"X-Bramleyworks-Attempt-Id: " + request_id)
+    return b"\r\n".join(fields) + b"\r\n\r\n" + body
 
 
 @pytest.mark.parametrize("copies_name_request", [True, False])
