Copy from peers over one session

Cause: a follower copies changes several times a second at hundreds of VMs, and opened a client session and a connection for each copy.

--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -97,6 +97,15 @@
 
     async def run(self) -> None:
         """Updates the replica until cancelled."""
+        async with http_session.create(PEER_TIMEOUT_S) as session:
+            await self._update(session)
+
+    async def _update(self, session: aiohttp.ClientSession) -> None:
+        """Updates the replica, from peers over a session.
+
+        A follower copies several times a second, and a connection costs more
+        than a copy.
+        """
         backoff_s = BACKOFF_S
         listed = False
         was_following = False
@@ -112,7 +121,7 @@
                 elif self._follows_relay():
                     was_following = True
                     await asyncio.sleep(FOLLOW_INTERVAL_S)
-                    await self._copy_from_peer()
+                    await self._copy_from_peer(session)
                     continue
                 else:
                     if not was_following:
@@ -135,7 +144,7 @@
                 self._log.write("store.history_lost")
             except errors.StoreError as exc:
                 self._record_failure(exc)
-                await self._copy_from_peer()
+                await self._copy_from_peer(session)
                 await asyncio.sleep(backoff_s * random.uniform(0.8, 1.2))
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
@@ -223,7 +232,7 @@
             removals, self._deferred_removals = self._deferred_removals, {}
             self._replica.apply(self._replica.revision, removals.values())
 
-    async def _copy_from_peer(self) -> None:
+    async def _copy_from_peer(self, session: aiohttp.ClientSession) -> None:
         """Copies from a peer with a newer revision, if there is one."""
         if (
             self.has_data
@@ -245,11 +254,10 @@
         address = random.choice(ahead)
         url = f"http://{address}/v1/copy?after={self._replica.revision}"
         try:
-            async with http_session.create(PEER_TIMEOUT_S) as session:
-                async with session.get(url) as response:
-                    if response.status != 200:
-                        return
-                    raw = await response.read()
+            async with session.get(url) as response:
+                if response.status != 200:
+                    return
+                raw = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             logging.info("copy from %s failed: %r", address, exc)
             return
