--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable
 
+from absl import logging
+
 from bramleyworks import errors
 from bramleyworks.gateway import attempt_outcome
 from bramleyworks.gateway import cluster_state
@@ -18,6 +20,7 @@
 from bramleyworks.gateway import upstream_head
 from bramleyworks.gateway import upstream_response
 from bramleyworks.platform import header_names
+from bramleyworks.platform import wire_rate_limit
 from bramleyworks.policy import placement
 
 # Responses up to this size are buffered whole before any byte is sent to the
@@ -27,6 +30,8 @@
 # response to any request since is checked by opening another connection.
 SILENCE_TIMEOUT_FACTOR = 5.0
 MIN_SILENCE_TIMEOUT_S = 0.6
+# Status with which a server refuses a request meant for another one.
+MISDIRECTED_STATUS = 421
 
 
 class Attempts:
@@ -216,7 +221,10 @@
     ) -> attempt_outcome.Outcome | None:
         """Returns the outcome of an unusable response, None if it is usable."""
         status = upstream_res.status
-        if upstream_res.get(header_names.NOT_RUN) is not None or status == 421:
+        if (
+            upstream_res.get(header_names.NOT_RUN) is not None
+            or status == MISDIRECTED_STATUS
+        ):
             upstream.record_shed()
             return attempt_outcome.Outcome(
                 attempt_outcome.AttemptResult.NOT_RUN, f"refused with {status}"
@@ -291,8 +299,11 @@
         upstream_res: upstream_response.UpstreamResponse,
         upstream: upstream_module.Upstream,
     ) -> None:
-        """Records the load and cold-start time reported in response headers."""
+        """Records the load, cold-start time and rate limit in headers."""
         upstream.last_response_s = self._clock()
+        if upstream_res.status == MISDIRECTED_STATUS:
+            # Another upstream has the address now.
+            return
         load = upstream_res.get(header_names.UPSTREAM_LOAD)
         if load is not None:
             fields = load.split(b",")
@@ -301,6 +312,25 @@
         cold_ms = upstream_res.get(header_names.COLD_LEFT_MS)
         if cold_ms is not None and cold_ms.strip().isdigit():
             upstream.record_cold_time(int(cold_ms) / 1000)
+        self._record_rate_limit(upstream_res, upstream)
+
+    def _record_rate_limit(
+        self,
+        upstream_res: upstream_response.UpstreamResponse,
+        upstream: upstream_module.Upstream,
+    ) -> None:
+        """Records the limit that a response names, or that it names none."""
+        raw = upstream_res.get(header_names.RATE_LIMIT)
+        if raw is None:
+            # A response that something between may have written ends no limit.
+            if upstream_res.get(header_names.SIGNATURE) is not None:
+                self._cluster.record_rate_limit(upstream, None)
+            return
+        decoded = wire_rate_limit.decode(raw, upstream.instance.id)
+        if decoded.is_err():
+            logging.warning("%s", decoded.unwrap_err())
+            return
+        self._cluster.record_rate_limit(upstream, decoded.unwrap())
 
     def _record_latency(
         self,
--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -13,6 +13,7 @@
 from bramleyworks.gateway import moves as moves_module
 from bramleyworks.gateway import registry as registry_module
 from bramleyworks.gateway import store_updates
+from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.gateway import vm as vm_module
 
 
@@ -75,6 +76,21 @@
             if u.instance.service == service and u.instance.version != version
         )
 
+    def record_rate_limit(
+        self, upstream: upstream_module.Upstream, rate_per_s: float | None
+    ) -> None:
+        """Records the rate limit that an upstream named, None for none."""
+        before = upstream.rate_limit_per_s
+        upstream.rate_limit_per_s = rate_per_s
+        if rate_per_s != before:
+            self._log.write(
+                "upstream.limit",
+                upstream=upstream.instance.id,
+                service=upstream.instance.service,
+                rate_per_s=rate_per_s,
+                before=before,
+            )
+
     def apply(self, update: store_updates.Update) -> None:
         """Applies a store update and logs the change."""
         _apply_update(update, self)
--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -13,6 +13,8 @@
 QUEUED_PER_SLOT = 3
 ATTEMPT_ID_HEADER = "x-bramleyworks-attempt-id"
 RESPONSE_SEAL_HEADER = "X-Bramleyworks-Response-Seal"
+# Fault with which it names a rate limit, followed by the requests per second.
+LIMIT_FAULT = "limit="
 
 
 class SlotServer:
@@ -188,7 +190,10 @@
 
     def _load_header(self) -> dict:
         load = f"{self._running},{self._waiting},{self.slots}"
-        return {"X-Bramleyworks-Server-Load": load}
+        headers = {"X-Bramleyworks-Server-Load": load}
+        if self.fault.startswith(LIMIT_FAULT):
+            headers["Server-Limit"] = self.fault.removeprefix(LIMIT_FAULT)
+        return headers
 
     def _response_head(self, status, headers, length) -> bytes:
         lines = [f"HTTP/1.1 {status} Status"]
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,6 +9,7 @@
 from bramleyworks.gateway import store_updates
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import wire_config
+from bramleyworks.platform import wire_rate_limit
 from bramleyworks.platform import wire_updates
 from bramleyworks.platform import wire_upstream
 
@@ -123,3 +124,18 @@
 
 def test_unknown_keys_are_ignored():
     assert wire_updates.decode(kv_item.KvItem("else/1", b"{}", 5)) is None
+
+
+@pytest.mark.parametrize(
+    ("raw", "rate_per_s"),
+    [(b"4.7", 4.7), (b" 2 ", 2.0), (b"0", 0.0), (b"0.25", 0.25)],
+)
+def test_rate_limit_is_decoded(raw, rate_per_s):
+    assert wire_rate_limit.decode(raw, "u1").unwrap() == rate_per_s
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"4,7", b"\xff", b"."]
+)
+def test_malformed_rate_limit_is_rejected(raw):
+    assert wire_rate_limit.decode(raw, "u1").is_err()
