--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -86,6 +86,7 @@
         if is_half_open:
             upstream.begin_half_open()
         upstream.in_flight += 1
+        self._cluster.registry.rate_limits.take(upstream.instance)
         conn = None
         start_s = self._clock()
         try:
--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -80,8 +80,7 @@
         self, upstream: upstream_module.Upstream, rate_per_s: float | None
     ) -> None:
         """Records the rate limit that an upstream named, None for none."""
-        before = upstream.rate_limit_per_s
-        upstream.rate_limit_per_s = rate_per_s
+        before = self.registry.rate_limits.record(upstream.instance, rate_per_s)
         if rate_per_s != before:
             self._log.write(
                 "upstream.limit",
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -1,6 +1,7 @@
 """Handles a caller's request: admission, attempts, retries, response."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 from bramleyworks.gateway import upstream_selector
 from bramleyworks.platform import header_names
 from bramleyworks.policy import placement
+from bramleyworks.policy import return_schedule
 
 # Request bodies up to this size are buffered whole before the first attempt, so
 # that the request can be retried.
@@ -70,6 +72,7 @@
         self._selector = upstream_selector.UpstreamSelector(
             region, cluster, traffic, vm_count, clock
         )
+        self._returns = return_schedule.ReturnSchedule()
         self._cluster = cluster
         self._traffic = traffic
         self._retry_budget = retries
@@ -216,8 +219,18 @@
             f"no upstream of {ctx.service} has room: {choice.wait_s:.3f} s "
             f"to wait, {choice.expected_s:.3f} s to answer, {left_s:.3f} s left"
         )
+        wait_s = choice.wait_s
+        if math.isfinite(choice.room_per_s):
+            reason += f"; rate limits leave {choice.room_per_s:.2f} requests/s"
+            wait_s = self._returns.next_wait_s(
+                ctx.service,
+                self._clock(),
+                wait_s,
+                choice.room_per_s,
+                RETRY_AFTER_FRACTION * max(0.0, left_s),
+            )
         return refused.RefusedError(
-            503, reason, self._retry_after_s(ctx, choice.wait_s)
+            503, reason, self._retry_after_s(ctx, wait_s)
         )
 
     def _retry_after_s(
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -319,7 +319,9 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             heartbeats = self._peers.live_heartbeats()
-            vm_count = self._known_vm_count(None)
+            vms = self._known_vms()
+            vm_count = len(vms)
+            self._cluster.registry.rate_limits.update_vms(self._own.id, vms)
             self._update_limits(heartbeats, vm_count)
             ticks += 1
             if self._peers.is_full_mesh or ticks % TICKS_PER_SURVEY == 0:
@@ -359,12 +361,15 @@
         for upstream in self._cluster.registry.all():
             upstream.peers_in_flight = in_flight.get(upstream.instance.id, 0.0)
             upstream.close_idle()
+        self._cluster.registry.forget_limits()
         config = self._cluster.config
         self._traffic.update(
             config.services if config else (),
             lambda service: self._peer_demand(service, heartbeats),
             lambda service: self._cluster.registry.capacity(
-                service, self._cluster.eligible_versions(service)
+                service,
+                self._cluster.eligible_versions(service),
+                self._traffic.mean_work_s(service),
             ),
             vm_count,
         )
@@ -394,8 +399,8 @@
             return None
         return self._replica_encoder.encode(after)
 
-    def _known_vm_count(self, region: str | None) -> int:
-        """Returns the number of known VMs of a region, of all for None.
+    def _known_vms(self) -> dict[str, str]:
+        """Returns the region of each known VM, including this one, by id.
 
         They include registered VMs of which no heartbeat was received.
         """
@@ -405,6 +410,11 @@
             (name, found)
             for name, (found, _) in self._peers.entry_addresses().items()
         )
+        return known
+
+    def _known_vm_count(self, region: str | None) -> int:
+        """Returns the number of known VMs of a region, of all for None."""
+        known = self._known_vms()
         if region is None:
             return len(known)
         return sum(1 for found in known.values() if found == region)
@@ -430,6 +440,7 @@
             },
             moves=self._cluster.report_moves(),
             loads=self._load_reports(),
+            limits=self._cluster.registry.rate_limits.own_reports(),
         )
 
     def _load_reports(self) -> dict[str, tuple[int, int]]:
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -50,13 +50,16 @@
         loads: Requests at each upstream as last reported to the sender, or, in
             a summary, to any VM of its region, and the age of the report in
             hundredths of a second.
+        limits: Rate limits that upstreams name, as in ``rate_limits.Report``:
+            start of the upstream, requests per second or None, and the age of
+            the report in hundredths of a second.
         members: Entry addresses by id of the VMs that accept callers, if this
             is the summary of a region; otherwise empty.
         covered_vms: Number of VMs that a summary covers, 0 if this is the
             heartbeat of the sender alone.
-        is_full: Whether ``usage`` and ``members`` are complete. In a delta,
-            ``usage`` has the changes since the last full heartbeat, and
-            ``members`` is omitted because it did not change.
+        is_full: Whether ``usage``, ``limits`` and ``members`` are complete. In
+            a delta, the first two have the changes since the last full
+            heartbeat, and ``members`` is omitted because it did not change.
     """
 
     vm: vm_module.Vm
@@ -72,6 +75,7 @@
     members: dict[str, str] = {}
     covered_vms: int = 0
     is_full: bool = True
+    limits: dict[str, tuple[int, float | None, int]] = {}
 
     def check(self) -> None:
         """Checks what decoding by type does not.
@@ -85,6 +89,8 @@
             for pair in pairs.values():
                 numbers.extend(pair)
         numbers.extend(self.in_flight.values())
+        for _, rate_per_s, hundredths in self.limits.values():
+            numbers.extend((rate_per_s or 0.0, hundredths))
         if not all(number >= 0 and math.isfinite(number) for number in numbers):
             raise ValueError("a number is negative or not finite")
 
@@ -128,6 +134,11 @@
             heartbeat,
             usage=changed | dict.fromkeys(removed, (0, 0)),
             members={},
+            limits={
+                name: report
+                for name, report in heartbeat.limits.items()
+                if report[:2] != last_full.limits.get(name, ())[:2]
+            },
             is_full=False,
         )
 
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -229,6 +229,7 @@
         table[heartbeat.vm.id] = ReceivedHeartbeat(full, self._clock())
         self._newest_revision = max(self._newest_revision, full.revision)
         self._upstreams.record_peer_loads(heartbeat.loads)
+        self._upstreams.rate_limits.record_reports(heartbeat.limits)
         if heartbeat.covered_vms:
             self._select_relay(full)
             self._forward(heartbeat, data)
@@ -368,6 +369,7 @@
                     heartbeat,
                     self.direct_heartbeats(),
                     self._upstreams.region_load_reports(),
+                    self._upstreams.region_limit_reports(),
                 )
             )
             remote = self._remote_relay_addresses(vms.values())
--- a/src/bramleyworks/gateway/region_summary.py
+++ b/src/bramleyworks/gateway/region_summary.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bramleyworks.gateway import heartbeat as heartbeat_module
+from bramleyworks.gateway import rate_limits
 
 
 class SummaryBuilder:
@@ -21,6 +22,7 @@
         own: heartbeat_module.Heartbeat,
         members: list[heartbeat_module.Heartbeat],
         loads: dict[str, tuple[int, int]],
+        limits: dict[str, rate_limits.Report],
     ) -> heartbeat_module.Heartbeat:
         """Returns the summary of a region.
 
@@ -28,6 +30,7 @@
             own: Heartbeat of the relay.
             members: Heartbeats of the other live VMs of its region.
             loads: Load reports of the region's upstreams, as in ``Heartbeat``.
+            limits: Rate limits of the region's upstreams, likewise.
         """
         heartbeats = [own, *members]
         demand: dict[str, float] = {}
@@ -47,6 +50,7 @@
             },
             in_flight={},
             loads=loads,
+            limits=limits,
             moves=_merge_moves(heartbeats),
             members={b.vm.id: b.vm.entry for b in heartbeats if b.is_ready},
             covered_vms=len(heartbeats),
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from bramleyworks.gateway import instance as instance_module
+from bramleyworks.gateway import rate_limits
 from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.policy import placement
 from bramleyworks.policy import rendezvous
@@ -27,7 +28,11 @@
 
 
 class Registry:
-    """Indexes upstreams by id and by service."""
+    """Indexes upstreams by id and by service.
+
+    Attributes:
+        rate_limits: Rate limits that upstreams name.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,7 @@
         self._region = region
         self._regions = regions
         self._clock = clock
+        self.rate_limits = rate_limits.RateLimits(clock)
         self._upstreams: dict[str, upstream_module.Upstream] = {}
         self._by_address: dict[tuple[str, int], upstream_module.Upstream] = {}
         # Upstreams of each service by region, and their number by version.
@@ -211,18 +217,64 @@
             ):
                 yield upstream
 
-    def capacity(self, service: str, versions: set[str]) -> dict[str, float]:
-        """Returns the effective slots of the usable upstreams by region."""
+    def send_wait_s(self, upstream: upstream_module.Upstream) -> float:
+        """Returns the seconds until its rate limit lets this VM send to it.
+
+        Returns:
+            0 if this VM may send now, infinity if others may but not this one.
+        """
+        return self.rate_limits.wait_s(
+            upstream.instance, self.region_of(upstream)
+        )
+
+    def send_share_per_s(self, upstream: upstream_module.Upstream) -> float:
+        """Returns this VM's share of its rate limit, infinity for no limit."""
+        return self.rate_limits.share_per_s(
+            upstream.instance, self.region_of(upstream)
+        )
+
+    def capacity(
+        self, service: str, versions: set[str], work_s: float
+    ) -> dict[str, float]:
+        """Returns the effective slots of the usable upstreams by region.
+
+        Args:
+            service: Name of the service.
+            versions: Versions that requests may be sent to.
+            work_s: Mean processing time of its requests in seconds; a rate
+                limit keeps no more slots busy than rate times this.
+        """
         slots: dict[str, float] = {}
         for region in self.regions(service):
             found = [
-                u.instance.slots / max(1.0, u.slowness)
+                self._effective_slots(u, work_s)
                 for u in self.usable_upstreams(service, region, versions)
             ]
             if found:
                 slots[region] = sum(found)
         return slots
 
+    def _effective_slots(
+        self, upstream: upstream_module.Upstream, work_s: float
+    ) -> float:
+        slots = upstream.instance.slots / max(1.0, upstream.slowness)
+        rate_per_s = self.rate_limits.rate_per_s(upstream.instance)
+        if rate_per_s is None:
+            return slots
+        return min(slots, rate_per_s * work_s)
+
+    def forget_limits(self) -> None:
+        """Drops old rate limits of upstreams that have left."""
+        self.rate_limits.forget(self._upstreams)
+
+    def region_limit_reports(self) -> dict[str, rate_limits.Report]:
+        """Returns the rate limits of this region's upstreams, from any VM."""
+        return self.rate_limits.reports(
+            u.instance.id
+            for u in self.all()
+            if self.region_of(u) == self._region
+        )
+
     def load_reports(self, since_s: float) -> dict[str, tuple[int, int]]:
         """Returns the load reports that this VM received from upstreams.
 
--- a/src/bramleyworks/gateway/traffic.py
+++ b/src/bramleyworks/gateway/traffic.py
@@ -41,6 +41,7 @@
 class _ServiceTraffic:
     """Measured demand for a service and its shares by region."""
 
+    mean_work_s: float | None = None
     pending_work_s: float = 0.0
     demand: float | None = None
     has_requests: bool = False
@@ -146,9 +147,19 @@
             work_s = self.work_s(route, service, objective_s, True)
         state = self._service(service)
         state.pending_work_s += work_s
+        mean_s = work_s if state.mean_work_s is None else state.mean_work_s
+        state.mean_work_s = mean_s + WORK_SMOOTHING * (work_s - mean_s)
         state.has_requests = True
         state.requests.append(self._clock())
 
+    def mean_work_s(self, service: str) -> float:
+        """Returns the mean processing time of a service's requests in seconds.
+
+        Infinity before its first request.
+        """
+        mean_s = self._service(service).mean_work_s
+        return math.inf if mean_s is None else mean_s
+
     def demand(self) -> dict[str, float]:
         """Returns by service how many slots this VM's requests need."""
         return {
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -53,8 +53,6 @@
         last_response_s: Monotonic time in seconds at which it last responded
             or accepted a connectivity check.
         first_seen_s: Monotonic time in seconds at which it was first seen.
-        rate_limit_per_s: Requests per second that it takes from all VMs
-            together, None if it names no limit.
     """
 
     def __init__(
@@ -72,7 +70,6 @@
         self.peers_in_flight = 0.0
         self.last_response_s = -math.inf
         self.first_seen_s = clock()
-        self.rate_limit_per_s: float | None = None
         self.health = upstream_health.UpstreamHealth()
         self._reported_others = 0.0
         self._reported_s = -math.inf
@@ -119,7 +116,6 @@
             self._slowness = 1.0
             self._reported_others = 0.0
             self._cached_objects.clear()
-            self.rate_limit_per_s = None
             self.close()
         self.instance = instance
         self.record_cold_time(instance.cold_left_s)
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -11,6 +11,8 @@
 # Fraction of the slack in the latency objective that requests may spend in a
 # queue, by priority. Under load, low priorities are refused first.
 SLACK_FRACTION_BY_PRIORITY = (1.0, 0.8, 0.5)
+# Least rate of room from which a time to return is computed.
+MIN_ROOM_PER_S = 0.1
 
 
 class UpstreamSelector:
@@ -78,21 +80,22 @@
                 min(ctx.priority, len(SLACK_FRACTION_BY_PRIORITY) - 1)
             ],
         )
-        by_region = {
-            region: found
-            for region in registry.regions(ctx.service)
-            if not ctx.regions or region in ctx.regions
-            if (
-                found := [
-                    u
-                    for u in registry.usable_upstreams(
-                        ctx.service, region, versions
-                    )
-                    if u.instance.id not in tried
-                    and (region == self._region or not u.is_cold)
-                ]
-            )
-        }
+        by_region: dict[str, list[upstream_module.Upstream]] = {}
+        limited: list[upstream_module.Upstream] = []
+        for region in registry.regions(ctx.service):
+            if ctx.regions and region not in ctx.regions:
+                continue
+            for upstream in registry.usable_upstreams(
+                ctx.service, region, versions
+            ):
+                if upstream.instance.id in tried or (
+                    region != self._region and upstream.is_cold
+                ):
+                    continue
+                if registry.send_wait_s(upstream) > 0.0:
+                    limited.append(upstream)
+                else:
+                    by_region.setdefault(region, []).append(upstream)
         if move_version is not None:
             by_region = _of_version(by_region, move_version) or _of_version(
                 by_region, base_version
@@ -117,8 +120,32 @@
                 return selected, choice
             if first_rejected.expected_s == 0.0:
                 first_rejected = choice
+        if limited and first_rejected.wait_s == 0.0:
+            return None, self._limited_choice(limited, demand)
         return None, first_rejected
 
+    def _limited_choice(
+        self,
+        limited: list[upstream_module.Upstream],
+        demand: placement.Demand,
+    ) -> placement.Choice:
+        """Returns when rate limits leave room for a request again."""
+        registry = self._cluster.registry
+        wait_s = min(registry.send_wait_s(u) for u in limited)
+        room_per_s = sum(registry.send_share_per_s(u) for u in limited)
+        if room_per_s <= 0.0:
+            # Other VMs share the limits; the caller may come back to one.
+            room_per_s = sum(
+                registry.rate_limits.rate_per_s(u.instance) or 0.0
+                for u in limited
+            )
+            room_per_s = max(room_per_s, MIN_ROOM_PER_S)
+            wait_s = 1.0 / room_per_s
+        work_s = demand.cold_work_s
+        return placement.Choice(
+            None, wait_s + work_s, wait_s, work_s, room_per_s=room_per_s
+        )
+
     def _choose_in_region(
         self,
         ctx: request_context.RequestContext,
--- a/src/bramleyworks/policy/placement.py
+++ b/src/bramleyworks/policy/placement.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 # Fraction of an upstream's slots up to which it may take requests for objects
@@ -57,6 +58,8 @@
         work_s: Part of ``expected_s`` spent on the request itself.
         is_warm: Whether the upstream is likely to have the request's object in
             its cache.
+        room_per_s: Requests per second for which rate limits leave room;
+            infinity if something else than these is in the way.
     """
 
     id: str | None
@@ -64,6 +67,7 @@
     wait_s: float
     work_s: float
     is_warm: bool = False
+    room_per_s: float = math.inf
 
 
 NO_CHOICE = Choice(None, 0.0, 0.0, 0.0)
