--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -231,10 +231,12 @@
             Whether a token was available.
         """
         now_s = self._clock()
-        if self._cold_bucket.capacity == 0:
-            # The first level is random. With full buckets all VMs would send
-            # their first requests within the same second; with empty ones no
-            # request would come for a while.
+        unused_s = now_s - self._cold_bucket.updated_s
+        if self._cold_bucket.capacity == 0 or unused_s * rate_per_s > 1.0:
+            # At first, and after a time without requests, the level is random.
+            # With full buckets all VMs would send their first requests within
+            # the same second; with empty ones no request would come for a
+            # while.
             level = random.random()
             self._cold_bucket = token_bucket.TokenBucket(level, now_s)
         self._cold_bucket = token_bucket.with_share(
--- a/tests/gateway/test_cold_start.py
+++ b/tests/gateway/test_cold_start.py
@@ -12,14 +12,18 @@
 SECONDS = 6.0
 
 
+def create_cold(now):
+    cold = instance.Instance(
+        "u1", "desk", "127.0.0.1", 1, "one-a", "v1", 4, False, 9.0, 1
+    )
+    return upstream.Upstream(cold, lambda: now[0])
+
+
 def simulate(seed):
     """Returns the send times if each VM sends whenever it has a token."""
     random.seed(seed)
     now = [100.0]
-    cold = instance.Instance(
-        "u1", "desk", "127.0.0.1", 1, "one-a", "v1", 4, False, 9.0, 1
-    )
-    vms = [upstream.Upstream(cold, lambda: now[0]) for _ in range(VMS)]
+    vms = [create_cold(now) for _ in range(VMS)]
     share = 0.9 * TOLERATED_PER_S / VMS
     sent = []
     while now[0] < 100.0 + SECONDS:
@@ -36,3 +40,22 @@
             within = [at for at in sent if start_s <= at < start_s + 1.0]
             assert len(within) <= WORST_SECOND, seed
         assert len(sent) > 0.7 * 0.9 * TOLERATED_PER_S * SECONDS, seed
+
+
+def test_second_cold_start_meets_no_saved_tokens():
+    """Guards against VMs that saved up requests since the first cold start."""
+    share = 0.9 * TOLERATED_PER_S / VMS
+    for seed in range(20):
+        random.seed(seed)
+        now = [100.0]
+        vms = [create_cold(now) for _ in range(VMS)]
+        for vm in vms:
+            vm.take_cold_token(share)
+        now[0] += 60.0
+        for vm in vms:
+            vm.record_cold_time(9.0)
+        sent = []
+        for _ in range(50):
+            now[0] += 0.02
+            sent += [now[0] for vm in vms if vm.take_cold_token(share)]
+        assert len(sent) <= WORST_SECOND, seed
