--- a/src/bramleyworks_standins/kv_data.py
+++ b/src/bramleyworks_standins/kv_data.py
@@ -23,6 +23,7 @@
         rows: Items by key.
         history: Changes since the history was last compacted.
         compacted_revision: Oldest revision from which changes can be read.
+        era: Number of times that the store was restored from a copy, plus one.
     """
 
     def __init__(self, clock=time.monotonic):
@@ -30,9 +31,11 @@
         self.rows: dict[str, Row] = {}
         self.history: list[dict] = []
         self.compacted_revision = 1
+        self.era = 1
         self._clock = clock
         self._leases: dict[int, tuple[float, float]] = {}
         self._last_lease_id = 100
+        self._copy = (1, {}, {}, 100)
 
     def put(self, key: str, value: str, lease_id: int = 0) -> int:
         """Writes an item and returns the new revision."""
@@ -99,15 +102,37 @@
             if expires_s <= now_s:
                 self.revoke_lease(lease_id)
 
+    def save_copy(self) -> None:
+        """Saves a copy of items and leases to restore later."""
+        self._copy = (
+            self.revision,
+            dict(self.rows),
+            dict(self._leases),
+            self._last_lease_id,
+        )
+
+    def restore(self) -> None:
+        """Goes back to the saved copy; what came after it is lost."""
+        self.revision, rows, leases, self._last_lease_id = self._copy
+        self.rows = dict(rows)
+        now_s = self._clock()
+        self._leases = {
+            name: (now_s + ttl_s, ttl_s) for name, (_, ttl_s) in leases.items()
+        }
+        self.era += 1
+        self.compact()
+
     def compact(self) -> None:
         """Drops the history."""
         self.history.clear()
         self.compacted_revision = self.revision
 
     def changes_since(self, prefix: str, after: int) -> list[dict] | None:
-        """Returns changes after a revision, None if they were compacted."""
+        """Returns changes after a revision, None if they are not known."""
         if after < self.compacted_revision and after < self.revision:
             return None
+        if after > self.revision:
+            return None
         return [
             event
             for event in self.history
--- a/src/bramleyworks_standins/kv_store.py
+++ b/src/bramleyworks_standins/kv_store.py
@@ -68,6 +68,13 @@
         )
 
     def _with_faults(self, handle):
+        async def handle_in_era(
+            req: requests.Request,
+        ) -> responses.Response:
+            response = await handle_with_faults(req)
+            response.headers["Store-Era"] = str(self.data.era)
+            return response
+
         async def handle_with_faults(
             req: requests.Request,
         ) -> responses.Response:
@@ -86,7 +93,7 @@
                 await asyncio.sleep(SILENT_DELAY_S)
             return await handle(req)
 
-        return handle_with_faults
+        return handle_in_era
 
     async def get_item(self, req: requests.Request) -> responses.Response:
         """Reads one item."""
@@ -120,8 +127,11 @@
         end_s = asyncio.get_running_loop().time() + (
             int(query.get("wait_ms", "0")) / 1000
         )
+        era = self.data.era
         while True:
             self.data.expire_leases()
+            if self.data.era != era:
+                return responses.Response(status_code=410)
             events = self.data.changes_since(
                 query["prefix"], int(query["after"])
             )
@@ -170,9 +180,17 @@
         return responses.JSONResponse({"rev": self.data.revision})
 
     async def set_faults(self, req: requests.Request) -> responses.Response:
-        """Replaces the faults; ``compact`` drops the history of changes."""
+        """Replaces the faults.
+
+        ``compact`` drops the history of changes, ``copy`` saves a copy of the
+        store, and ``restore`` goes back to it.
+        """
         body = await req.json()
         self.faults = body.get("faults") or {}
+        if body.get("copy"):
+            self.data.save_copy()
+        if body.get("restore"):
+            self.data.restore()
         if body.get("compact"):
             self.data.compact()
         return responses.JSONResponse({})
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -215,8 +215,9 @@
         ) as response:
             return (await response.json())["rev"]
 
-    async def store_faults(self, faults=None, compact=False):
-        body = {"faults": faults or {}, "compact": compact}
+    async def store_faults(self, faults=None, **actions):
+        """Replaces the faults; actions are compact, copy and restore."""
+        body = {"faults": faults or {}} | actions
         async with self.http.post(f"http://{self.store}/faults", json=body):
             pass
 
