--- a/src/bramleyworks/gateway/control_app.py
+++ b/src/bramleyworks/gateway/control_app.py
@@ -9,24 +9,28 @@
 from starlette import routing
 from starlette import types
 
+from bramleyworks.platform import kv_position
+
 COPY_PATH = "/v1/copy"
 
 
 def create_control_app(
-    read_update: Callable[[int], bytes | None],
+    read_update: Callable[[kv_position.Position], bytes | None],
 ) -> applications.Starlette:
     """Creates the interface for other VMs.
 
     Args:
         read_update: Returns an encoded update of the store replica from a
-            given revision, a snapshot for 0; None before the replica has data.
+            given position, a snapshot for revision 0; None before the replica
+            has data.
     """
 
     async def get_update(req: requests.Request) -> responses.Response:
         after = req.query_params.get("after", "0")
-        if not after.isdigit():
+        era = req.query_params.get("era", "0")
+        if not (after.isdecimal() and era.isdecimal()):
             return responses.Response(status_code=400)
-        content = read_update(int(after))
+        content = read_update(kv_position.Position(int(era), int(after)))
         if content is None:
             return responses.Response(status_code=503)
         return responses.Response(content, media_type="application/zlib")
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -33,6 +33,7 @@
 from bramleyworks.gateway import vm as vm_module
 from bramleyworks.platform import entry_app
 from bramleyworks.platform import kv_item
+from bramleyworks.platform import kv_position
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import wire_updates
 
@@ -86,7 +87,9 @@
         self._cluster = cluster_state_module.ClusterState(
             settings.region, settings.regions, log, clock
         )
-        self._replica = store_replica_module.StoreReplica(self._apply_item)
+        self._replica = store_replica_module.StoreReplica(
+            self._apply_item, wire_updates.compare
+        )
         self._store = kv_store.KvStore(settings.store)
         self._peers = peers_module.Peers(
             self._own,
@@ -105,6 +108,7 @@
             self._replica,
             self._peers,
             self._seed_controls,
+            self._config_version,
             log,
             clock,
         )
@@ -152,7 +156,12 @@
         )
         self._loads_sent_s = clock()
         self._recorder = move_recorder.MoveRecorder(
-            settings.vm_id, self._cluster, self._store, log, clock
+            settings.vm_id,
+            self._cluster,
+            self._store,
+            self._replica,
+            log,
+            clock,
         )
 
     async def run(self) -> None:
@@ -394,11 +403,16 @@
     def _is_ready(self) -> bool:
         return self._cluster.config is not None and not self._is_stopping
 
-    def _encode_update(self, after: int) -> bytes | None:
+    def _encode_update(self, after: kv_position.Position) -> bytes | None:
         if not self._sync.has_data:
             return None
         return self._replica_encoder.encode(after)
 
+    def _config_version(self) -> int:
+        """Returns the version of the configuration in force, 0 for none."""
+        config = self._cluster.config
+        return config.version if config is not None else 0
+
     def _known_vms(self) -> dict[str, str]:
         """Returns the region of each known VM, including this one, by id.
 
@@ -429,7 +443,9 @@
             vm=self._own,
             sequence=sequence,
             is_ready=self._is_ready(),
-            revision=self._replica.revision,
+            revision=self._replica.position.revision,
+            era=self._replica.position.era,
+            config=self._config_version(),
             demand=self._traffic.demand(),
             store_age_s=round(self._sync.age_s, 2),
             usage=self._quotas.usage(),
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -11,13 +11,14 @@
 import msgspec
 
 from bramleyworks.gateway import vm as vm_module
+from bramleyworks.platform import kv_position
 
 
 class MoveReport(msgspec.Struct, frozen=True, array_like=True):
     """A VM's view of the move of one service.
 
     Attributes:
-        order_revision: Store revision of the move order.
+        order_id: Identifies the move order.
         elapsed_s: Seconds since the move started.
         is_aborted: Whether the new version was judged to be faulty.
         is_drained: Whether no request of this VM runs on the old version, and
@@ -25,7 +26,7 @@
         counts: Responses and bad responses by ``VERSION ROUTE``.
     """
 
-    order_revision: int
+    order_id: int
     elapsed_s: float
     is_aborted: bool
     is_drained: bool
@@ -40,6 +41,8 @@
         sequence: Increases with each heartbeat of an incarnation.
         is_ready: Whether the sender accepts callers.
         revision: Store revision up to which the sender has all changes.
+        era: Era of the store that the revision belongs to.
+        config: Version of the configuration in force, 0 for none.
         store_age_s: Seconds since the store last responded to the sender.
         demand: Slots needed by the requests of its callers, by service.
         usage: Requests admitted since its start, and the rate of requests that
@@ -76,6 +79,13 @@
     covered_vms: int = 0
     is_full: bool = True
     limits: dict[str, tuple[int, float | None, int]] = {}
+    era: int = 0
+    config: int = 0
+
+    @property
+    def position(self) -> kv_position.Position:
+        """Position in the store up to which the sender has all changes."""
+        return kv_position.Position(self.era, self.revision)
 
     def check(self) -> None:
         """Checks what decoding by type does not.
--- a/src/bramleyworks/gateway/move_recorder.py
+++ b/src/bramleyworks/gateway/move_recorder.py
@@ -9,8 +9,8 @@
 from bramleyworks.gateway import cluster_state as cluster_state_module
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import heartbeat as heartbeat_module
-from bramleyworks.gateway import move_order
 from bramleyworks.gateway import move_state
+from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import store_keys
 from bramleyworks.platform import wire_move
@@ -29,6 +29,7 @@
         own_id: str,
         cluster: cluster_state_module.ClusterState,
         store: kv_store.KvStore,
+        replica: store_replica_module.StoreReplica,
         log: event_log.EventLog,
         clock: Callable[[], float],
     ):
@@ -38,15 +39,17 @@
             own_id: Name of this VM.
             cluster: State of moves.
             store: Client of the store.
+            replica: What this VM knows of the store.
             log: Event log.
             clock: Monotonic time in seconds.
         """
         self._own_id = own_id
         self._cluster = cluster
         self._store = store
+        self._replica = replica
         self._log = log
         self._clock = clock
-        self._due_since: dict[tuple[int, str], float] = {}
+        self._due_since: dict[tuple[str, move_state.MoveState], float] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def record_due(self, heartbeats: list[heartbeat_module.Heartbeat]) -> None:
@@ -59,6 +62,7 @@
         due = self._cluster.moves.due_states(
             self._cluster.report_moves(),
             [heartbeat.moves for heartbeat in heartbeats],
+            lambda service: self._replica.is_lost(_key(service)),
         )
         now_s = self._clock()
         names = sorted(
@@ -66,15 +70,14 @@
         )
         delay_s = names.index(self._own_id) * STAGGER_S
         current = {}
-        for order, phase in due:
-            key = (order.revision, phase.value)
-            since_s = self._due_since.get(key, now_s)
+        for service, state in due:
+            since_s = self._due_since.get((service, state), now_s)
             if now_s - since_s >= delay_s:
                 since_s = now_s + RETRY_DELAY_S
-                task = asyncio.create_task(self._record(order, phase))
+                task = asyncio.create_task(self._record(service, state))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
-            current[key] = since_s
+            current[service, state] = since_s
         self._due_since = current
 
     def close(self) -> None:
@@ -82,17 +85,13 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _record(
-        self,
-        order: move_order.MoveOrder,
-        phase: move_state.MovePhase,
-    ) -> None:
-        service = order.service
+    async def _record(self, service: str, state: move_state.MoveState) -> None:
+        key = _key(service)
         try:
             await self._store.put(
-                store_keys.MOVE_STATES + service,
-                wire_move.encode_state(service, order.to_version, phase),
-                self._cluster.moves.state_revision(service),
+                key,
+                wire_move.encode_state(service, state),
+                self._replica.stored_revision(key),
             )
         except errors.StoreError as exc:
             logging.info(
@@ -102,6 +101,10 @@
         self._log.write(
             "move.recorded",
             service=service,
-            to_version=order.to_version,
-            phase=phase.value,
+            to_version=state.to_version,
+            phase=state.phase.value,
         )
+
+
+def _key(service: str) -> str:
+    return store_keys.MOVE_STATES + service
--- a/src/bramleyworks/gateway/move_state.py
+++ b/src/bramleyworks/gateway/move_state.py
@@ -19,9 +19,7 @@
     Attributes:
         to_version: Version of the move order.
         phase: Phase of the move.
-        revision: Store revision of the record.
     """
 
     to_version: str
     phase: MovePhase
-    revision: int
--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -71,7 +71,7 @@
             self._moves.pop(service, None)
             return
         known = self._moves.get(service)
-        if known is None or known.order.revision != order.revision:
+        if known is None or known.order != order:
             self._moves[service] = _Move(order, self._clock())
             logging.info(
                 "move of %s to %s ordered, duration %.1f s",
@@ -196,7 +196,7 @@
                 r
                 for peer in peers
                 if (r := peer.get(service)) is not None
-                and r.order_revision == move.order.revision
+                and r.order_id == move.order.id
             ]
             for report in reports:
                 move.started_s = min(move.started_s, now_s - report.elapsed_s)
@@ -218,7 +218,7 @@
         now_s = self._clock()
         return {
             service: heartbeat_module.MoveReport(
-                order_revision=move.order.revision,
+                order_id=move.order.id,
                 elapsed_s=now_s - move.started_s,
                 is_aborted=move.is_aborted,
                 is_drained=self._share(service, move) >= 1.0
@@ -235,14 +235,20 @@
         self,
         own: Mapping[str, heartbeat_module.MoveReport],
         peers: list[dict[str, heartbeat_module.MoveReport]],
-    ) -> list[tuple[move_order.MoveOrder, move_state.MovePhase]]:
-        """Returns the states that should be recorded now.
+        is_lost: Callable[[str], bool],
+    ) -> list[tuple[str, move_state.MoveState]]:
+        """Returns the services and states that should be recorded now.
 
         Args:
             own: This VM's reports by service.
             peers: Reports of each peer by service.
+            is_lost: Returns whether the store has lost the state of a service.
         """
-        due = []
+        due = [
+            (service, state)
+            for service, state in self._states.items()
+            if is_lost(service)
+        ]
         for service, move in self._moves.items():
             phase = self._phase(service)
             if phase in (
@@ -252,24 +258,21 @@
                 continue
             reports = [own.get(service), *(p.get(service) for p in peers)]
             all_drained = all(
-                r is not None
-                and r.order_revision == move.order.revision
-                and r.is_drained
+                r is not None and r.order_id == move.order.id and r.is_drained
                 for r in reports
             )
             if move.is_aborted:
-                due.append((move.order, move_state.MovePhase.REVERTED))
+                next_phase = move_state.MovePhase.REVERTED
             elif all_drained:
-                due.append((move.order, move_state.MovePhase.DONE))
+                next_phase = move_state.MovePhase.DONE
             elif phase is None:
-                due.append((move.order, move_state.MovePhase.RUNNING))
+                next_phase = move_state.MovePhase.RUNNING
+            else:
+                continue
+            state = move_state.MoveState(move.order.to_version, next_phase)
+            due.append((service, state))
         return due
 
-    def state_revision(self, service: str) -> int:
-        """Returns the store revision of the recorded state, 0 for none."""
-        state = self._states.get(service)
-        return state.revision if state is not None else 0
-
     def _evaluate(
         self,
         service: str,
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -23,6 +23,7 @@
 from bramleyworks.gateway import region_summary
 from bramleyworks.gateway import registry as registry_module
 from bramleyworks.gateway import vm as vm_module
+from bramleyworks.platform import kv_position
 from bramleyworks.policy import rendezvous
 
 # Bounds the age of what VMs know about each other's requests.
@@ -123,7 +124,7 @@
         self._summary_encoder = heartbeat_module.DeltaEncoder(
             FULL_SUMMARY_EVERY
         )
-        self._newest_revision = 0
+        self._newest = kv_position.Position()
         # Facts about the fleet, derived again when it changed or after a while.
         self._derived = _Derived((), -math.inf, True, 0, ())
         self._sequence = 0
@@ -145,9 +146,9 @@
         )
 
     @property
-    def newest_revision(self) -> int:
-        """Newest store revision that any heartbeat has reported."""
-        return self._newest_revision
+    def newest_position(self) -> kv_position.Position:
+        """Newest position in the store that any heartbeat has reported."""
+        return self._newest
 
     def _derive(self) -> "_Derived":
         """Returns facts about the fleet that are too costly for each use."""
@@ -227,7 +228,7 @@
             # It has just started and needs a full heartbeat of this VM.
             self._heartbeat_encoder.reset()
         table[heartbeat.vm.id] = ReceivedHeartbeat(full, self._clock())
-        self._newest_revision = max(self._newest_revision, full.revision)
+        self._newest = max(self._newest, full.position)
         self._upstreams.record_peer_loads(heartbeat.loads)
         self._upstreams.rate_limits.record_reports(heartbeat.limits)
         if heartbeat.covered_vms:
--- a/src/bramleyworks/gateway/region_summary.py
+++ b/src/bramleyworks/gateway/region_summary.py
@@ -75,17 +75,19 @@
     heartbeats: list[heartbeat_module.Heartbeat],
 ) -> dict[str, heartbeat_module.MoveReport]:
     """Merges the reports of the latest move of each service."""
-    latest: dict[str, int] = {}
+    latest: dict[str, heartbeat_module.MoveReport] = {}
     for heartbeat in heartbeats:
         for service, report in heartbeat.moves.items():
-            latest[service] = max(latest.get(service, 0), report.order_revision)
+            known = latest.get(service)
+            if known is None or report.elapsed_s < known.elapsed_s:
+                latest[service] = report
     found = {}
-    for service, revision in latest.items():
+    for service, newest in latest.items():
         reports = [
             r
             for heartbeat in heartbeats
             if (r := heartbeat.moves.get(service)) is not None
-            and r.order_revision == revision
+            and r.order_id == newest.order_id
         ]
         counts: dict[str, tuple[int, int]] = {}
         for report in reports:
@@ -93,7 +95,7 @@
                 old = counts.get(key, (0, 0))
                 counts[key] = (old[0] + responses, old[1] + bad)
         found[service] = heartbeat_module.MoveReport(
-            order_revision=revision,
+            order_id=newest.order_id,
             elapsed_s=max(r.elapsed_s for r in reports),
             is_aborted=any(r.is_aborted for r in reports),
             is_drained=len(reports) == len(heartbeats)
--- a/src/bramleyworks/gateway/replica_update.py
+++ b/src/bramleyworks/gateway/replica_update.py
@@ -8,6 +8,7 @@
 from bramleyworks import errors
 from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.platform import kv_item
+from bramleyworks.platform import kv_position
 
 # Fastest level of zlib; it compresses configurations to about a tenth.
 COMPRESSION_LEVEL = 1
@@ -19,12 +20,20 @@
     Attributes:
         revision: Store revision up to which all changes are included.
         is_full: Whether this is a snapshot: items that it lacks do not exist.
-        items: Key, value (None for a removal) and revision of each item.
+        items: Key, value (None for a removal) and revision of each item, and
+            era and revision of a change that the store has lost, else None.
+        era: Era of the store that the revisions belong to.
     """
 
     revision: int
     is_full: bool
-    items: list[tuple[str, bytes | None, int]]
+    items: list[tuple[str, bytes | None, int, tuple[int, int] | None]]
+    era: int = 0
+
+    @property
+    def position(self) -> kv_position.Position:
+        """Position in the store up to which all changes are included."""
+        return kv_position.Position(self.era, self.revision)
 
 
 class ReplicaUpdateEncoder:
@@ -41,29 +50,34 @@
             replica: Replica to send.
         """
         self._replica = replica
-        self._revision = 0
-        self._encoded: dict[int, bytes] = {}
+        self._encoded_for = (kv_position.Position(), 0)
+        self._encoded: dict[kv_position.Position, bytes] = {}
 
-    def encode(self, after: int) -> bytes:
-        """Returns the encoded update for a peer at some revision.
+    def encode(self, after: kv_position.Position) -> bytes:
+        """Returns the encoded update for a peer at some position.
 
         Args:
-            after: Revision of the peer, 0 if it has no data.
+            after: Position of the peer, revision 0 if it has no data.
         """
-        if self._revision != self._replica.revision:
-            self._revision = self._replica.revision
+        content = (self._replica.position, self._replica.generation)
+        if self._encoded_for != content:
+            self._encoded_for = content
             self._encoded.clear()
         if after not in self._encoded:
             self._encoded[after] = self._encode(after)
         return self._encoded[after]
 
-    def _encode(self, after: int) -> bytes:
-        changes = self._replica.changes_since(after) if after else None
-        found = self._replica.items() if changes is None else changes
+    def _encode(self, after: kv_position.Position) -> bytes:
+        changes = None
+        if after.revision:
+            changes = self._replica.changes_since(after)
+        found = self._replica.snapshot() if changes is None else changes
+        position = self._replica.position
         update = ReplicaUpdate(
-            self._replica.revision,
+            position.revision,
             changes is None,
-            [(item.key, item.value, item.revision) for item in found],
+            [_encode_item(item) for item in found],
+            position.era,
         )
         return zlib.compress(msgspec.msgpack.encode(update), COMPRESSION_LEVEL)
 
@@ -79,8 +93,8 @@
         replica: Replica to update.
 
     Returns:
-        The number of items received, None if the update is not newer; an error
-        if it is malformed.
+        The number of items received, or of lost changes adopted; None if there
+        is nothing new; an error if it is malformed.
     """
     try:
         update = msgspec.msgpack.decode(
@@ -88,11 +102,35 @@
         )
     except (msgspec.DecodeError, zlib.error) as exc:
         return result.Err(errors.MessageError("copy.decode", peer, str(exc)))
-    if update.revision <= replica.revision:
+    if update.position <= replica.position and not (
+        update.is_full and update.era == replica.position.era
+    ):
         return result.Ok(None)
-    items = [kv_item.KvItem(*item) for item in update.items]
+    items = [
+        kv_item.KvItem(
+            key,
+            value,
+            revision,
+            update.era,
+            kv_position.Position(*lost) if lost else None,
+        )
+        for key, value, revision, lost in update.items
+    ]
+    if update.position <= replica.position:
+        return result.Ok(replica.adopt_lost(items) or None)
     if update.is_full:
-        replica.replace(update.revision, items)
+        replica.replace(update.position, items)
+    elif update.era == replica.position.era:
+        replica.apply(update.position, items)
     else:
-        replica.apply(update.revision, items)
+        return result.Err(
+            errors.MessageError("copy.apply", peer, "a delta to another era")
+        )
     return result.Ok(len(items))
+
+
+def _encode_item(
+    item: kv_item.KvItem,
+) -> tuple[str, bytes | None, int, tuple[int, int] | None]:
+    lost = (item.lost.era, item.lost.revision) if item.lost else None
+    return item.key, item.value, item.revision, lost
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -1,6 +1,7 @@
 """Keeps this VM's store replica up to date."""
 
 import asyncio
+import functools
 import math
 import random
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 from bramleyworks.gateway import replica_update
 from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.platform import kv_item
+from bramleyworks.platform import kv_position
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import store_keys
 
@@ -32,6 +34,13 @@
 # Upstreams whose registrations expired while the store was unavailable may
 # register again within this time after its recovery.
 REGISTER_GRACE_S = 2.0
+# Time after a restore of the store within which operators write again what it
+# has lost. An order that they withdrew meanwhile leaves no trace in the store.
+OPERATOR_GRACE_S = 10.0
+# The same for an order that was withdrawn before, and that the store has again.
+# Shorter than the 5 s in which an evacuation has to be in force, since it may
+# be a new one.
+WITHDRAWN_GRACE_S = 3.0
 # Time without a response after which the store counts as unavailable.
 UNAVAILABLE_AFTER_S = 1.0
 # Interval at which followers compare revisions with their peers; relays send a
@@ -68,6 +77,7 @@
         replica: store_replica_module.StoreReplica,
         peers: peers_module.Peers,
         seeds: Callable[[], list[str]],
+        config_version: Callable[[], int],
         log: event_log.EventLog,
         clock: Callable[[], float],
     ):
@@ -79,6 +89,7 @@
             replica: Replica to update.
             peers: Heartbeats of peers.
             seeds: Returns control addresses to try when no peer is known.
+            config_version: Returns the version of the configuration in force.
             log: Event log.
             clock: Monotonic time in seconds.
         """
@@ -87,11 +98,16 @@
         self._replica = replica
         self._peers = peers
         self._seeds = seeds
+        self._config_version = config_version
         self._log = log
         self._clock = clock
         self._last_response_s = -math.inf
         self._recovered_s = -math.inf
         self._deferred_removals: dict[str, kv_item.KvItem] = {}
+        # When this VM learned of the present era of the store, and the graces
+        # of that era that have not passed.
+        self._era_since_s = -math.inf
+        self._graces: list[tuple[float, Callable[[], None]]] = []
         self.has_data = False
         self.is_store_unavailable = True
 
@@ -112,39 +128,46 @@
         while True:
             try:
                 if not listed:
-                    revision, items = await self._store.list_items("")
+                    position, items = await self._store.list_items("")
                     self._record_success()
-                    self._replica.replace(
-                        revision, self._keep_missing_upstreams(items)
-                    )
+                    self._replace(position, items)
                     self.has_data = listed = True
                 elif self._follows_relay():
                     was_following = True
                     await asyncio.sleep(FOLLOW_INTERVAL_S)
                     await self._copy_from_peer(session)
+                    self._settle()
+                    await self._copy_lost_config(session)
                     continue
                 else:
                     if not was_following:
                         await asyncio.sleep(BATCH_DELAY_S)
                     # A VM that takes over from a relay is late already.
                     was_following = False
-                    revision, changes = await self._store.watch(
+                    position, changes = await self._store.watch(
                         "",
-                        self._replica.revision,
+                        self._replica.position,
                         WATCH_TIMEOUT_S
                         if self._peers.is_full_mesh
                         else RELAY_WATCH_TIMEOUT_S,
                     )
                     self._record_success()
-                    self._replica.apply(revision, self._defer_removals(changes))
-                self._apply_deferred_removals()
+                    self._replica.apply(position, self._defer_removals(changes))
+                self._settle()
+                await self._copy_lost_config(session)
                 backoff_s = BACKOFF_S
-            except errors.StoreHistoryError:
+            except errors.StoreHistoryError as exc:
                 listed = False
-                self._log.write("store.history_lost")
+                self._log.write(
+                    "store.history_lost",
+                    reason=exc.reason,
+                    revision=self._replica.position.revision,
+                    era=self._replica.position.era,
+                )
             except errors.StoreError as exc:
                 self._record_failure(exc)
                 await self._copy_from_peer(session)
+                self._settle()
                 await asyncio.sleep(backoff_s * random.uniform(0.8, 1.2))
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
@@ -167,7 +190,11 @@
             self.is_store_unavailable = False
             if self.has_data:
                 self._recovered_s = now_s
-            self._log.write("store.regained", revision=self._replica.revision)
+            self._log.write(
+                "store.regained",
+                revision=self._replica.position.revision,
+                era=self._store.era,
+            )
         self._last_response_s = now_s
 
     def _record_failure(self, exc: errors.StoreError) -> None:
@@ -181,9 +208,62 @@
                 step=exc.step,
                 peer=exc.peer,
                 reason=exc.reason,
-                revision=self._replica.revision,
+                revision=self._replica.position.revision,
+                era=self._replica.position.era,
             )
 
+    def _replace(
+        self, position: kv_position.Position, items: list[kv_item.KvItem]
+    ) -> None:
+        """Replaces the replica by what the store has."""
+        era = self._replica.position.era
+        if position.era == era:
+            items = self._keep_missing_upstreams(items)
+        self._replica.replace(position, items)
+        self._note_era(era, "store")
+
+    def _note_era(self, before: int, source: str) -> None:
+        """Notes that the replica may have entered another era.
+
+        Args:
+            before: Era of the replica before.
+            source: Where the replica's new content came from, for the log.
+        """
+        position = self._replica.position
+        if position.era == before:
+            return
+        self._era_since_s = self._clock()
+        lapsing = (store_keys.UPSTREAMS, store_keys.VMS)
+        orders = (store_keys.EVACUATIONS, store_keys.MOVE_ORDERS)
+        drop, accept = self._replica.drop_missing, self._replica.accept_revived
+        self._graces = [
+            (REGISTER_GRACE_S, functools.partial(drop, lapsing)),
+            (REGISTER_GRACE_S, functools.partial(accept, lapsing)),
+            (WITHDRAWN_GRACE_S, functools.partial(accept, orders)),
+            (OPERATOR_GRACE_S, functools.partial(drop, orders)),
+            (OPERATOR_GRACE_S, self._replica.end_replay),
+        ]
+        # Removals that were deferred belong to changes of the era before.
+        self._deferred_removals.clear()
+        if self.has_data:
+            self._recovered_s = self._era_since_s
+        self._log.write(
+            "store.era",
+            era=position.era,
+            before=before,
+            revision=position.revision,
+            source=source,
+            lost=self._replica.lost_count(),
+        )
+
+    def _settle(self) -> None:
+        """Ends the graces that have passed."""
+        self._apply_deferred_removals()
+        era_age_s = self._clock() - self._era_since_s
+        while self._graces and era_age_s > self._graces[0][0]:
+            _, end = self._graces.pop(0)
+            end()
+
     def _defer_removals(
         self, changes: list[kv_item.KvItem]
     ) -> list[kv_item.KvItem]:
@@ -206,7 +286,7 @@
         self, items: list[kv_item.KvItem]
     ) -> list[kv_item.KvItem]:
         """Adds upstreams that a snapshot lacks but that may register again."""
-        if not self._replica.revision:
+        if not self._replica.position.revision:
             return items
         if self._clock() - self._recovered_s > REGISTER_GRACE_S:
             return items
@@ -219,7 +299,7 @@
         ]
         for item in missing:
             self._deferred_removals[item.key] = kv_item.KvItem(
-                item.key, None, item.revision + 1
+                item.key, None, item.revision + 1, item.era
             )
         return items + missing
 
@@ -230,29 +310,56 @@
             and self._clock() - self._recovered_s > REGISTER_GRACE_S
         ):
             removals, self._deferred_removals = self._deferred_removals, {}
-            self._replica.apply(self._replica.revision, removals.values())
+            self._replica.apply(self._replica.position, removals.values())
 
     async def _copy_from_peer(self, session: aiohttp.ClientSession) -> None:
         """Copies from a peer with a newer revision, if there is one."""
         if (
             self.has_data
-            and self._peers.newest_revision <= self._replica.revision
+            and self._peers.newest_position <= self._replica.position
         ):
             return
         ahead = sources(
             {
-                heartbeat.vm.control: heartbeat.revision
+                heartbeat.vm.control: heartbeat.position
                 for heartbeat in self._peers.direct_heartbeats()
             },
-            self._replica.revision,
+            self._replica.position,
             self.has_data,
         )
         if not ahead and not self.has_data:
             ahead = self._seeds()
         if not ahead:
             return
-        address = random.choice(ahead)
-        url = f"http://{address}/v1/copy?after={self._replica.revision}"
+        await self._copy(session, random.choice(ahead), self._replica.position)
+
+    async def _copy_lost_config(self, session: aiohttp.ClientSession) -> None:
+        """Copies a configuration that a restored store has lost.
+
+        A VM that has started or missed changes since gets an older one from
+        the store than its peers have in force.
+        """
+        version = self._config_version()
+        for heartbeat in self._peers.direct_heartbeats():
+            # A peer that is ahead has a newer one that will arrive as usual.
+            if (
+                heartbeat.config > version
+                and heartbeat.position <= self._replica.position
+            ):
+                await self._copy(
+                    session, heartbeat.vm.control, kv_position.Position()
+                )
+                return
+
+    async def _copy(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        after: kv_position.Position,
+    ) -> None:
+        """Copies from a peer the changes after a position."""
+        before = self._replica.position
+        url = f"http://{address}/v1/copy?after={after.revision}&era={after.era}"
         try:
             async with session.get(url) as response:
                 if response.status != 200:
@@ -268,17 +375,20 @@
         changes = applied.unwrap()
         if changes is None:
             return
+        self._note_era(before.era, address)
         self.has_data = True
         self._log.write(
             "store.copied",
             peer=address,
-            revision=self._replica.revision,
+            revision=self._replica.position.revision,
             changes=changes,
         )
 
 
 def sources(
-    revisions: Mapping[str, int], own_revision: int, has_data: bool
+    positions: Mapping[str, kv_position.Position],
+    own: kv_position.Position,
+    has_data: bool,
 ) -> list[str]:
     """Returns the control addresses of peers to copy from.
 
@@ -286,17 +396,15 @@
     list upstreams that have left and keys that were withdrawn.
 
     Args:
-        revisions: Store revision of each peer by control address.
-        own_revision: Revision of this VM's replica.
+        positions: Position of each peer's replica by control address.
+        own: Position of this VM's replica.
         has_data: Whether the replica has been filled.
     """
-    if not has_data:
-        own_revision = max([own_revision, *(r - 1 for r in revisions.values())])
-    return [
-        address
-        for address, revision in revisions.items()
-        if revision > own_revision
-    ]
+    ahead = {a: position for a, position in positions.items() if position > own}
+    if has_data or not ahead:
+        return list(ahead)
+    newest = max(ahead.values())
+    return [a for a, position in ahead.items() if position == newest]
 
 
 def follows_relay(
--- a/src/bramleyworks/platform/kv_store.py
+++ b/src/bramleyworks/platform/kv_store.py
@@ -11,12 +11,14 @@
 from bramleyworks import errors
 from bramleyworks.adapters import http_session
 from bramleyworks.platform import kv_item
+from bramleyworks.platform import kv_position
 
 # The store responds in 4 ms, and 60 times as slowly while it is degraded.
 CALL_TIMEOUT_S = 1.5
 # Time for the response of a watch to arrive after the requested wait.
 WATCH_MARGIN_S = 0.7
 PAGES_MAX = 1000
+ERA_HEADER = "Store-Era"
 
 
 class KvStore:
@@ -24,6 +26,9 @@
 
     Methods raise ``errors.StoreError`` when nothing was written or read, and
     ``errors.StoreUnknownError`` when a write may have taken effect.
+
+    Attributes:
+        era: Latest era that a response named, 0 before the first.
     """
 
     def __init__(self, address: str):
@@ -32,6 +37,7 @@
         Args:
             address: ``IP:PORT`` of the store.
         """
+        self.era = 0
         self._address = address
         self._stack = contextlib.AsyncExitStack()
         self._session: aiohttp.ClientSession | None = None
@@ -46,48 +52,60 @@
         """Closes all connections."""
         await self._stack.aclose()
 
-    async def list_items(self, prefix: str) -> tuple[int, list[kv_item.KvItem]]:
+    async def list_items(
+        self, prefix: str
+    ) -> tuple[kv_position.Position, list[kv_item.KvItem]]:
         """Reads all items with a prefix.
 
         Returns:
-            The revision to watch from, that of the first page, and the items.
+            The position to watch from, that of the first page, and the items.
+
+        Raises:
+            errors.StoreHistoryError: The store was restored between two pages.
         """
         items: list[kv_item.KvItem] = []
-        first_revision: int | None = None
+        first: kv_position.Position | None = None
         after = ""
         for _ in range(PAGES_MAX):
             query = {"prefix": prefix, "after": after}
             if not after:
                 del query["after"]
-            body = await self._read("/v1/kv-range", query, CALL_TIMEOUT_S)
-            if first_revision is None:
-                first_revision = int(body["as_of"])
-            page = [_item(entry, self._address) for entry in body["items"]]
+            body, era = await self._read("/v1/kv-range", query, CALL_TIMEOUT_S)
+            if first is None:
+                first = kv_position.Position(era, int(body["as_of"]))
+            self._check_era(first.era, era)
+            page = [_item(entry, era, self._address) for entry in body["items"]]
             items.extend(page)
             if not body.get("has_more") or not page:
-                return first_revision, items
+                return first, items
             after = page[-1].key
         raise errors.StoreError("store.list", self._address, "too many pages")
 
     async def watch(
-        self, prefix: str, after_revision: int, wait_s: float
-    ) -> tuple[int, list[kv_item.KvItem]]:
+        self, prefix: str, after: kv_position.Position, wait_s: float
+    ) -> tuple[kv_position.Position, list[kv_item.KvItem]]:
         """Waits for changes of keys with a prefix.
 
         Returns:
-            The revision from which to continue, and the changes, possibly none.
+            The position from which to continue, and the changes, possibly none.
 
         Raises:
-            errors.StoreHistoryError: The store no longer has the changes.
+            errors.StoreHistoryError: The store no longer has the changes, or
+                was restored.
         """
         query = {
             "prefix": prefix,
-            "after": str(after_revision),
+            "after": str(after.revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        body = await self._read("/v1/kv-watch", query, wait_s + WATCH_MARGIN_S)
-        changes = [_item(e, self._address) for e in body.get("events") or ()]
-        return int(body["as_of"]), changes
+        body, era = await self._read(
+            "/v1/kv-watch", query, wait_s + WATCH_MARGIN_S
+        )
+        self._check_era(after.era, era)
+        changes = [
+            _item(e, era, self._address) for e in body.get("events") or ()
+        ]
+        return kv_position.Position(era, int(body["as_of"])), changes
 
     async def put(
         self,
@@ -142,10 +160,21 @@
         """Revokes a lease, which removes its items."""
         await self._write("DELETE", f"/v1/kv-lease-end/{lease_id}", None)
 
-    async def _read(self, path: str, query: dict, timeout_s: float) -> dict:
+    def _check_era(self, expected: int, era: int) -> None:
+        if era != expected:
+            raise errors.StoreHistoryError(
+                "store.era",
+                self._address,
+                f"the store was restored: era {era} instead of {expected}",
+            )
+
+    async def _read(
+        self, path: str, query: dict, timeout_s: float
+    ) -> tuple[dict, int]:
+        """Returns the body of a response and its era."""
         url = f"http://{self._address}{path}?{urllib.parse.urlencode(query)}"
         try:
-            status, raw = await self._call("GET", url, None, timeout_s)
+            status, raw, era = await self._call("GET", url, None, timeout_s)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise errors.StoreError(
                 "store.read", self._address, _reason(exc)
@@ -160,12 +189,12 @@
             raise errors.StoreError(
                 "store.read", self._address, f"status {status}"
             )
-        return self._decode(raw)
+        return self._decode(raw), era
 
     async def _write(self, method: str, path: str, body: dict | None) -> dict:
         url = f"http://{self._address}{path}"
         try:
-            status, raw = await self._call(method, url, body, CALL_TIMEOUT_S)
+            status, raw, _ = await self._call(method, url, body, CALL_TIMEOUT_S)
         except aiohttp.ClientConnectorError as exc:
             raise errors.StoreError(
                 "store.connect", self._address, _reason(exc)
@@ -190,7 +219,7 @@
 
     async def _call(
         self, method: str, url: str, body: dict | None, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
         headers = {"Content-Type": "application/json"}
         async with self._session.request(
             method,
@@ -199,7 +228,12 @@
             headers=headers if body is not None else None,
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as resp:
-            return resp.status, await resp.read()
+            raw = await resp.read()
+            # A store without eras is always in the same one.
+            text = resp.headers.get(ERA_HEADER, "")
+            era = int(text) if text.isdecimal() else self.era
+            self.era = max(self.era, era)
+            return resp.status, raw, era
 
     def _decode(self, raw: bytes) -> dict:
         try:
@@ -210,14 +244,14 @@
             ) from exc
 
 
-def _item(entry: dict, peer: str) -> kv_item.KvItem:
+def _item(entry: dict, era: int, peer: str) -> kv_item.KvItem:
     if entry.get("deleted"):
-        return kv_item.KvItem(entry["key"], None, int(entry["rev"]))
+        return kv_item.KvItem(entry["key"], None, int(entry["rev"]), era)
     try:
         value = base64.b64decode(entry.get("value") or "", validate=True)
     except binascii.Error as exc:
         raise errors.StoreError("store.decode", peer, str(exc)) from exc
-    return kv_item.KvItem(entry["key"], value, int(entry["rev"]))
+    return kv_item.KvItem(entry["key"], value, int(entry["rev"]), era)
 
 
 def _reason(exc: BaseException) -> str:
--- a/src/bramleyworks/platform/wire_config.py
+++ b/src/bramleyworks/platform/wire_config.py
@@ -27,6 +27,15 @@
     return int(text[1:])
 
 
+def read_version(raw: bytes) -> int | None:
+    """Returns the version of a configuration, None if it is unreadable."""
+    try:
+        return version_number(msgspec.json.decode(raw)["version"])
+    except (msgspec.DecodeError, KeyError, ValueError, TypeError):
+        # Logged where the configuration is decoded.
+        return None
+
+
 def decode(
     raw: bytes, peer: str
 ) -> result.Result[gateway_config.GatewayConfig, errors.DocumentError]:
--- a/src/bramleyworks/platform/wire_move.py
+++ b/src/bramleyworks/platform/wire_move.py
@@ -9,7 +9,7 @@
 
 
 def decode_order(
-    raw: bytes, revision: int
+    raw: bytes,
 ) -> result.Result[move_order.MoveOrder, errors.DocumentError]:
     """Decodes an operator's order."""
     try:
@@ -19,7 +19,6 @@
                 service=body["service"],
                 to_version=body["to_version"],
                 duration_s=float(body["over_s"]),
-                revision=revision,
             )
         )
     except (msgspec.DecodeError, KeyError, ValueError, TypeError) as exc:
@@ -29,7 +28,7 @@
 
 
 def decode_state(
-    raw: bytes, revision: int
+    raw: bytes,
 ) -> result.Result[move_state.MoveState, errors.DocumentError]:
     """Decodes the recorded state of a move."""
     try:
@@ -38,7 +37,6 @@
             move_state.MoveState(
                 to_version=body["to_version"],
                 phase=move_state.MovePhase(body["state"]),
-                revision=revision,
             )
         )
     except (msgspec.DecodeError, KeyError, ValueError, TypeError) as exc:
@@ -47,10 +45,34 @@
         )
 
 
-def encode_state(
-    service: str, to_version: str, phase: move_state.MovePhase
-) -> bytes:
+def compare_states(known: bytes, raw: bytes) -> int | None:
+    """Compares the ages of two states of one service.
+
+    Args:
+        known: The known state.
+        raw: Another state.
+
+    Returns:
+        -1 if the other one is older, 1 if it is newer, None if they do not
+        tell.
+    """
+    known_state, state = decode_state(known), decode_state(raw)
+    if known_state.is_err() or state.is_err():
+        return None
+    one, other = known_state.unwrap(), state.unwrap()
+    if one.to_version != other.to_version or one.phase is other.phase:
+        return None
+    if other.phase is move_state.MovePhase.RUNNING:
+        return -1
+    return 1 if one.phase is move_state.MovePhase.RUNNING else None
+
+
+def encode_state(service: str, state: move_state.MoveState) -> bytes:
     """Encodes the state of a move for the operators."""
     return msgspec.json.encode(
-        {"service": service, "to_version": to_version, "state": phase.value}
+        {
+            "service": service,
+            "to_version": state.to_version,
+            "state": state.phase.value,
+        }
     )
--- a/src/bramleyworks/platform/wire_updates.py
+++ b/src/bramleyworks/platform/wire_updates.py
@@ -44,6 +44,43 @@
     return None
 
 
+def compare(known: bytes, item: kv_item.KvItem) -> int | None:
+    """Compares the ages of an item and a value of the same key.
+
+    Args:
+        known: The value.
+        item: The item.
+
+    Returns:
+        Below 0 if the item is older, 0 if it is as old, above 0 if it is newer;
+        None if they do not tell.
+    """
+    if item.value is None:
+        return None
+    if item.key == store_keys.CONFIG:
+        read = wire_config.read_version
+    elif item.key.startswith(store_keys.UPSTREAMS):
+        read = wire_upstream.report_order
+    elif item.key.startswith(store_keys.VMS):
+        read = _vm_start
+    elif item.key.startswith(store_keys.MOVE_STATES):
+        return wire_move.compare_states(known, item.value)
+    else:
+        return None
+    known_order, order = read(known), read(item.value)
+    if known_order is None or order is None:
+        return None
+    return (order > known_order) - (order < known_order)
+
+
+def _vm_start(raw: bytes) -> int | None:
+    try:
+        return msgspec.json.decode(raw, type=vm.Vm).incarnation
+    except msgspec.DecodeError:
+        # Logged where the registration is decoded.
+        return None
+
+
 def encode_vm(entry: vm.Vm) -> bytes:
     """Encodes an entry VM's registration."""
     return msgspec.json.encode(entry)
@@ -75,7 +112,7 @@
 def _value(item: kv_item.KvItem, decode_value):
     if item.value is None:
         return None
-    decoded = decode_value(item.value, item.revision)
+    decoded = decode_value(item.value)
     if decoded.is_err():
         logging.warning("%s: %s", item.key, decoded.unwrap_err())
         return None
--- a/src/bramleyworks/platform/wire_upstream.py
+++ b/src/bramleyworks/platform/wire_upstream.py
@@ -32,6 +32,26 @@
     )
 
 
+def report_order(raw: bytes) -> tuple[int, int] | None:
+    """Returns what orders the reports of one upstream, None if unreadable.
+
+    Args:
+        raw: JSON text.
+
+    Returns:
+        The time of its start in Unix ms, and the number of the report since.
+    """
+    try:
+        body = msgspec.json.decode(raw, type=dict)
+    except msgspec.DecodeError:
+        # Logged where the registration is decoded.
+        return None
+    started_ms, number = body.get("born") or 0, body.get("seq")
+    if type(started_ms) is not int or type(number) is not int:
+        return None
+    return started_ms, number
+
+
 def _instance(instance_id: str, body: dict) -> instance.Instance:
     host, _, port = _string(body, "addr").rpartition(":")
     ipaddress.ip_address(host)
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -42,7 +42,7 @@
         cluster = cluster_state.ClusterState(
             "one", {"one-a": "one"}, log, clock
         )
-        order = move_order.MoveOrder("desk", "v2", 10.0, 5)
+        order = move_order.MoveOrder("desk", "v2", 10.0)
         cluster.moves.update_order("desk", order)
         attempt_runner = attempts.Attempts(
             cluster,
--- a/tests/gateway/test_replica_update.py
+++ b/tests/gateway/test_replica_update.py
@@ -6,12 +6,20 @@
 from bramleyworks.gateway import store_replica
 from bramleyworks.gateway import store_sync
 from bramleyworks.platform import kv_item
+from bramleyworks.platform import kv_position
+
+
+def position(revision):
+    return kv_position.Position(0, revision)
 
 
 def build_replica(revision, items):
-    replica = store_replica.StoreReplica(lambda item: None)
+    replica = store_replica.StoreReplica(
+        lambda item: None, lambda known, item: None
+    )
     replica.replace(
-        revision, [kv_item.KvItem(key, value, 1) for key, value in items]
+        position(revision),
+        [kv_item.KvItem(key, value, 1) for key, value in items],
     )
     return replica
 
@@ -22,16 +30,16 @@
     follower = build_replica(10, values)
     encoder = replica_update.ReplicaUpdateEncoder(source)
     source.apply(
-        12,
+        position(12),
         [
             kv_item.KvItem("servers/7", None, 11),
             kv_item.KvItem("op/config", b"new", 12),
         ],
     )
-    raw = encoder.encode(follower.revision)
+    raw = encoder.encode(follower.position)
     assert len(raw) < 200
     assert replica_update.apply_update(raw, "peer", follower).unwrap() == 2
-    assert follower.revision == 12
+    assert follower.position.revision == 12
     assert follower.get("servers/7") is None
     assert follower.get("op/config").value == b"new"
     assert replica_update.apply_update(raw, "peer", follower).unwrap() is None
@@ -41,15 +49,15 @@
     source = build_replica(10, [("op/config", b"one")])
     encoder = replica_update.ReplicaUpdateEncoder(source)
     follower = build_replica(10, [("op/config", b"one")])
-    encoder.encode(10)
-    source.apply(15, [])
+    encoder.encode(position(10))
+    source.apply(position(15), [])
     assert (
         replica_update.apply_update(
-            encoder.encode(10), "peer", follower
+            encoder.encode(position(10)), "peer", follower
         ).unwrap()
         == 0
     )
-    assert follower.revision == 15
+    assert follower.position.revision == 15
 
 
 def test_follower_too_far_behind_gets_a_snapshot():
@@ -58,7 +66,7 @@
     encoder = replica_update.ReplicaUpdateEncoder(source)
     assert (
         replica_update.apply_update(
-            encoder.encode(3), "peer", follower
+            encoder.encode(position(3)), "peer", follower
         ).unwrap()
         == 1
     )
@@ -73,7 +81,7 @@
         for n in range(1400)
     )
     source = build_replica(10, [("op/config", rules.encode())])
-    raw = replica_update.ReplicaUpdateEncoder(source).encode(0)
+    raw = replica_update.ReplicaUpdateEncoder(source).encode(position(0))
     assert len(raw) < 0.25 * len(rules)
 
 
