--- a/src/bramleyworks/gateway/registration.py
+++ b/src/bramleyworks/gateway/registration.py
@@ -31,21 +31,25 @@
         self._store = store
         self._own = own
         self._lease = 0
+        # Era in which the lease was granted. A restored store has lost the
+        # lease, and may grant its id to another VM.
+        self._lease_era = 0
         self._is_withdrawn = False
 
     async def run(self) -> None:
         """Registers and renews the lease until withdrawn."""
         while not self._is_withdrawn:
             try:
-                if not self._lease:
+                if not self._has_lease():
                     lease = await self._store.grant_lease(LEASE_TTL_S)
+                    era = self._store.era
                     await self._store.put(
                         store_keys.VMS + self._own.id,
                         wire_updates.encode_vm(self._own),
                         None,
                         lease,
                     )
-                    self._lease = lease
+                    self._lease, self._lease_era = lease, era
                 else:
                     await self._store.renew_lease(self._lease)
                 await asyncio.sleep(RENEW_INTERVAL_S * random.uniform(0.9, 1.1))
@@ -59,9 +63,12 @@
     async def withdraw(self) -> None:
         """Revokes the lease so that callers are no longer sent to this VM."""
         self._is_withdrawn = True
-        if not self._lease:
+        if not self._has_lease():
             return
         try:
             await self._store.revoke_lease(self._lease)
         except errors.StoreError as exc:
             logging.info("lease not revoked, left to expire: %s", exc)
+
+    def _has_lease(self) -> bool:
+        return self._lease != 0 and self._lease_era == self._store.era
