--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+import aiohttp
 from soak import link
 from soak import plan
 from soak import record
@@ -26,6 +27,10 @@
 DRAIN_WAIT_S = 3.5
 # Interval between the resets, or silences, of one fault.
 REPEAT_INTERVAL_S = 0.15
+# Time for which a store that is restored is away, and until its writers have
+# written again what it has lost.
+STORE_AWAY_S = 0.5
+WRITE_AGAIN_S = 1.0
 # Long enough that requests are in flight whenever a fault starts.
 WORK_MS = 80
 # A registration expires after three missed heartbeats.
@@ -61,6 +66,8 @@
         self._end_signals = {}
         self._paused = set()
         self._upstream_names = {}
+        # Upstreams that are paused and may not answer the harness.
+        self._stopped = set()
         self._domains = dict(OLD_VERSION + NEW_VERSION)
         self._addresses = {}
         self._upstream_count = 0
@@ -110,6 +117,7 @@
             "upstream": self._upstream_fault,
             "config": self._write_config,
             "evacuate": self._evacuate,
+            "limit": self._limit,
             "move": self._move,
         }[kind]
         await handler(action, fault)
@@ -242,6 +250,9 @@
             item.set_mode(link.OPEN)
 
     async def _store_fault(self, action, fault):
+        if action == "restore":
+            await self._restore_store(fault)
+            return
         self._record_fault_window(fault)
         if action == "compact":
             await self._fleet.store_faults(compact=True)
@@ -254,6 +265,40 @@
             await asyncio.sleep(fault.duration_s)
             await self._fleet.store_faults()
 
+    async def _restore_store(self, fault):
+        """Brings the store back from a copy as old as the fault is long."""
+        await self._fleet.store_faults(copy=True)
+        await asyncio.sleep(fault.duration_s)
+        now_s = time.monotonic()
+        self.rec.fault_windows.append(
+            record.FaultWindow(now_s, now_s + STORE_AWAY_S + WRITE_AGAIN_S)
+        )
+        await self._fleet.store_faults({"*": "busy"})
+        await asyncio.sleep(STORE_AWAY_S)
+        await self._fleet.store_faults(restore=True)
+        await asyncio.sleep(WRITE_AGAIN_S)
+        await self._fleet.write_again()
+
+    async def _limit(self, action, fault):
+        del action
+        name = self._upstream_names[fault.target]
+        await self._set_upstream_fault(name, f"limit={fault.variant}")
+        start_s = time.monotonic()
+        await asyncio.sleep(fault.duration_s)
+        self.rec.limits.append(
+            record.Limit(name, float(fault.variant), start_s, time.monotonic())
+        )
+        await self._set_upstream_fault(name, "")
+
+    async def _set_upstream_fault(self, name, variant):
+        """Sets the fault of an upstream that another fault may have killed."""
+        process = self._fleet.upstreams[name][1]
+        try:
+            await self._fleet.upstream_fault(name, variant)
+        except (aiohttp.ClientError, TimeoutError):
+            if process.exit_code() is None and name not in self._stopped:
+                raise
+
     async def _write_config(self, action, fault):
         del action, fault
         version = self.newest_version + 1
@@ -326,15 +371,17 @@
         process = self._fleet.upstreams[name][1]
         domain = dict(UPSTREAMS)[position]
         if action == "fault":
-            await self._fleet.upstream_fault(name, fault.variant)
+            await self._set_upstream_fault(name, fault.variant)
             await asyncio.sleep(fault.duration_s)
-            if process.exit_code() is None:
-                await self._fleet.upstream_fault(name, "")
+            await self._set_upstream_fault(name, "")
         elif action == "pause":
-            process.pause()
-            await asyncio.sleep(fault.duration_s)
+            if process.exit_code() is None:
+                process.pause()
+                self._stopped.add(name)
+                await asyncio.sleep(fault.duration_s)
             if process.exit_code() is None:
                 process.resume()
+            self._stopped.discard(name)
         elif action == "drain":
             await self._fleet.register(name, domain=domain, state="draining")
             self.rec.drain_started_s[name] = time.monotonic()
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -10,6 +10,11 @@
 # ``downgrade_ms``; checked with eight times that to allow for slowed VMs.
 DOWNGRADE_S = 0.25
 DRAIN_S = 2.5  # ``drain_ms``.
+# An upstream may get half more in any window than the limit that it names, and
+# five requests.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVER = 1.5
+LIMIT_SLACK = 5
 EVACUATE_S = 5.0  # ``evacuate_ms``.
 ROUTE_TIMEOUT_S = 1.5  # Of the routes in ``platform_fleet``.
 # The documentation allows half a second after a route's timeout.
@@ -34,6 +39,7 @@
         _responses_arrive_in_time,
         _drained_upstreams_get_no_requests,
         _evacuated_domains_get_no_requests,
+        _named_limits_are_kept,
         _revoked_keys_are_rejected,
         _moves_end_by_deadline,
         _processes_stay_up,
@@ -230,6 +236,30 @@
                 yield f"evacuation: {run.request_id} ran at {run.upstream}"
 
 
+def _named_limits_are_kept(rec):
+    known = _sent_by_id(rec)
+    for limit in rec.limits:
+        since_s = limit.start_s + CONTACT_TIMEOUT_S
+        times = sorted(
+            run.at_s
+            for run in rec.runs
+            if run.upstream == limit.upstream
+            and since_s <= run.at_s < limit.end_s
+            and (sent := known.get(run.request_id)) is not None
+            and is_unimpaired(rec, sent.vm, limit.start_s, run.at_s)
+        )
+        allowed = LIMIT_OVER * limit.rate_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for first_s in times:
+            end_s = first_s + LIMIT_WINDOW_S
+            count = sum(1 for at_s in times if first_s <= at_s < end_s)
+            if count > allowed:
+                yield (
+                    f"limit: {count} requests at {limit.upstream}, which takes "
+                    f"{limit.rate_per_s}/s"
+                )
+                break
+
+
 def _revoked_keys_are_rejected(rec):
     for sent in rec.sent:
         if not sent.key_version or sent.status != 200:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -6,8 +6,10 @@
 # No fault starts in the last second, so that each has time to take effect.
 QUIET_END_S = 1.0
 ONCE_DURATION_S = 8.0
-ONCE_PER_RUN = ("evacuate", "move")
+ONCE_PER_RUN = ("evacuate", "limit", "move")
 MOVE_VARIANTS = ("good", "bad")
+# Requests per second that an upstream names as its limit.
+LIMIT_VARIANTS = ("0.5", "2", "6")
 HOLD_VARIANTS = ("hold_up", "hold_down", "hold_both")
 UPSTREAM_VARIANTS = (
     "silent",
@@ -87,6 +89,7 @@
             "store_fault",
             "store_pause",
             "store_compact",
+            "store_restore",
             "upstream_fault",
             "upstream_fault",
             "upstream_pause",
@@ -96,6 +99,7 @@
             "config",
             "config",
             "evacuate",
+            "limit",
             "move",
         )
     )
@@ -112,8 +116,10 @@
                 rng.uniform(0.5, 2.0),
                 ONCE_DURATION_S,
                 kind,
-                "",
-                rng.choice(MOVE_VARIANTS),
+                upstream if kind == "limit" else "",
+                rng.choice(
+                    LIMIT_VARIANTS if kind == "limit" else MOVE_VARIANTS
+                ),
             )
         ]
     target, variant = {
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -76,6 +76,16 @@
     vm: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A period in which an upstream named a limit in requests per second."""
+
+    upstream: str
+    rate_per_s: float
+    start_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Evacuation:
     """A period in which a failure domain was evacuated."""
@@ -116,6 +126,7 @@
             version.
         drain_started_s: When upstreams started to drain, by name.
         evacuations: Evacuations of failure domains.
+        limits: Limits that upstreams named.
         moves: Moves of services to new versions.
         unexpected_exits: VM processes that exited without a signal from the
             harness, with exit code.
@@ -130,6 +141,7 @@
     config_written_s: dict = dataclasses.field(default_factory=dict)
     drain_started_s: dict = dataclasses.field(default_factory=dict)
     evacuations: list = dataclasses.field(default_factory=list)
+    limits: list = dataclasses.field(default_factory=list)
     moves: list = dataclasses.field(default_factory=list)
     unexpected_exits: list = dataclasses.field(default_factory=list)
     late_stops: list = dataclasses.field(default_factory=list)
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -162,6 +162,8 @@
             )
         }
         self._next_id = 0
+        self._written = {}
+        self._reports = 0
 
     async def __aenter__(self):
         self.http = await self._stack.enter_async_context(
@@ -205,6 +207,8 @@
 
     async def write_store(self, puts=(), remove=()):
         """Writes JSON values and removes keys, as operators do."""
+        self._written.update(puts)
+        self._written.update(dict.fromkeys(remove))
         encoded = {
             key: base64.b64encode(json.dumps(value).encode()).decode()
             for key, value in dict(puts).items()
@@ -215,6 +219,14 @@
         ) as response:
             return (await response.json())["rev"]
 
+    async def write_again(self):
+        """Writes all that was written again, as after a restore."""
+        written = self._written.items()
+        await self.write_store(
+            {key: value for key, value in written if value is not None},
+            [key for key, value in written if value is None],
+        )
+
     async def store_faults(self, faults=None, **actions):
         """Replaces the faults; actions are compact, copy and restore."""
         body = {"faults": faults or {}} | actions
@@ -250,6 +262,7 @@
         await self.register(name, slots=slots, domain=domain, **fields)
 
     async def register(self, name, slots=4, domain="one-a", **fields):
+        self._reports += 1
         entry = {
             "service": "desk",
             "addr": self.upstreams[name][0],
@@ -258,7 +271,7 @@
             "slots": slots,
             "state": "ready",
             "cold_left_ms": 0,
-            "seq": 1,
+            "seq": self._reports,
             "born": 1,
         }
         await self.write_store({f"servers/{name}": entry | fields})
