--- a/src/bramleyworks/gateway/rate_limits.py
+++ b/src/bramleyworks/gateway/rate_limits.py
@@ -69,6 +69,11 @@
         self._vms: dict[str, str] = {}
         self._vm_set = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no upstream has named a limit."""
+        return not self._limits
+
     def update_vms(self, own_id: str, vms: Mapping[str, str]) -> None:
         """Updates the VMs among which limits are divided.
 
--- a/src/bramleyworks/gateway/store_replica.py
+++ b/src/bramleyworks/gateway/store_replica.py
@@ -169,14 +169,20 @@
         adopted = 0
         for item in items:
             known = self._items.get(item.key)
-            if (
-                item.lost is not None
-                and known is not None
-                and known.position == item.position
-                and known.value != item.value
-                and not self._is_superseded(item, known)
-            ):
-                self._set(item)
+            if known is None or item.lost is None or known.value == item.value:
+                continue
+            if known.value is None and known.lost is None:
+                # Removed after the restore.
+                continue
+            order = self._order(known, item)
+            if order is None:
+                is_newer = known.position == item.position and (
+                    known.origin < item.lost
+                )
+            else:
+                is_newer = order > 0
+            if is_newer:
+                self._set(dataclasses.replace(item, revision=known.revision))
                 adopted += 1
         return adopted
 
@@ -206,7 +212,8 @@
         self._revived.pop(item.key, None)
         self._items[item.key] = item
         self._recent.append(item)
-        self._history.add(item)
+        if item.lost is None:
+            self._history.add(item)
         if item.value is not None:
             self._removed.pop(item.key, None)
         elif known is not None and known.value is not None:
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -55,6 +55,8 @@
 RELAY_WATCH_TIMEOUT_S = 0.5
 # Age that is sent in heartbeats if the store has never responded.
 MAX_AGE_S = 3600.0
+# Shortest time between two whole copies for a lost configuration.
+LOST_COPY_INTERVAL_S = 0.5
 # Timeout of copying from a peer.
 PEER_TIMEOUT_S = 1.0
 
@@ -107,6 +109,7 @@
         # When this VM learned of the present era of the store, and the graces
         # of that era that have not passed.
         self._era_since_s = -math.inf
+        self._next_lost_copy_s = -math.inf
         self._graces: list[tuple[float, Callable[[], None]]] = []
         self.has_data = False
         self.is_store_unavailable = True
@@ -339,6 +342,8 @@
         A VM that has started or missed changes since gets an older one from
         the store than its peers have in force.
         """
+        if self._clock() < self._next_lost_copy_s:
+            return
         version = self._config_version()
         for heartbeat in self._peers.direct_heartbeats():
             # A peer that is ahead has a newer one that will arrive as usual.
@@ -346,6 +351,7 @@
                 heartbeat.config > version
                 and heartbeat.position <= self._replica.position
             ):
+                self._next_lost_copy_s = self._clock() + LOST_COPY_INTERVAL_S
                 await self._copy(
                     session, heartbeat.vm.control, kv_position.Position()
                 )
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -82,6 +82,7 @@
         )
         by_region: dict[str, list[upstream_module.Upstream]] = {}
         limited: list[upstream_module.Upstream] = []
+        has_limits = not registry.rate_limits.is_empty
         for region in registry.regions(ctx.service):
             if ctx.regions and region not in ctx.regions:
                 continue
@@ -92,7 +93,7 @@
                     region != self._region and upstream.is_cold
                 ):
                     continue
-                if registry.send_wait_s(upstream) > 0.0:
+                if has_limits and registry.send_wait_s(upstream) > 0.0:
                     limited.append(upstream)
                 else:
                     by_region.setdefault(region, []).append(upstream)
