--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -220,8 +220,10 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in flight."""
-        return bool(self._running)
+        """Whether a request is in flight, or a response not yet sent."""
+        if self._running:
+            return True
+        return self._transport.get_write_buffer_size() > 0
 
     def _check_head(
         self, req: request_module.Request
--- a/src/bramleyworks/gateway/front_server.py
+++ b/src/bramleyworks/gateway/front_server.py
@@ -64,7 +64,7 @@
 
     @property
     def busy_conns(self) -> int:
-        """Number of connections with a request in flight."""
+        """Number of connections with a request or a response in flight."""
         return sum(1 for conn in self._conns if conn.is_busy)
 
     async def close(self) -> None:
