--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -53,6 +53,8 @@
 FOLLOWER_MAX_AGE_S = 1.6
 # Longest wait of a relay's watch; each response resets the age above.
 RELAY_WATCH_TIMEOUT_S = 0.5
+# Longest wait of a watch while graces of a restore may end.
+SETTLE_WATCH_TIMEOUT_S = 0.5
 # Age that is sent in heartbeats if the store has never responded.
 MAX_AGE_S = 3600.0
 # Shortest time between two whole copies for a lost configuration.
@@ -106,10 +108,10 @@
         self._last_response_s = -math.inf
         self._recovered_s = -math.inf
         self._deferred_removals: dict[str, kv_item.KvItem] = {}
+        self._next_lost_copy_s = -math.inf
         # When this VM learned of the present era of the store, and the graces
         # of that era that have not passed.
         self._era_since_s = -math.inf
-        self._next_lost_copy_s = -math.inf
         self._graces: list[tuple[float, Callable[[], None]]] = []
         self.has_data = False
         self.is_store_unavailable = True
@@ -150,9 +152,7 @@
                     position, changes = await self._store.watch(
                         "",
                         self._replica.position,
-                        WATCH_TIMEOUT_S
-                        if self._peers.is_full_mesh
-                        else RELAY_WATCH_TIMEOUT_S,
+                        self._watch_timeout_s(),
                     )
                     self._record_success()
                     self._replica.apply(position, self._defer_removals(changes))
@@ -179,6 +179,12 @@
         """Seconds since the store last responded to this VM."""
         return min(MAX_AGE_S, self._clock() - self._last_response_s)
 
+    def _watch_timeout_s(self) -> float:
+        """Returns the seconds that a watch may wait."""
+        if not self._peers.is_full_mesh:
+            return RELAY_WATCH_TIMEOUT_S
+        return SETTLE_WATCH_TIMEOUT_S if self._graces else WATCH_TIMEOUT_S
+
     def _follows_relay(self) -> bool:
         """Returns whether this VM copies from a relay and need not watch."""
         if self._peers.is_full_mesh:
@@ -235,6 +241,24 @@
         position = self._replica.position
         if position.era == before:
             return
+        # Removals that were deferred belong to changes of the era before.
+        self._deferred_removals.clear()
+        lost = self._replica.lost_count()
+        if self.has_data:
+            self._recovered_s = self._clock()
+        if self.has_data or lost:
+            self._start_graces()
+        self._log.write(
+            "store.era",
+            era=position.era,
+            before=before,
+            revision=position.revision,
+            source=source,
+            lost=lost,
+        )
+
+    def _start_graces(self) -> None:
+        """Starts the times within which lost items are written again."""
         self._era_since_s = self._clock()
         lapsing = (store_keys.UPSTREAMS, store_keys.VMS)
         orders = (store_keys.EVACUATIONS, store_keys.MOVE_ORDERS)
@@ -246,18 +270,6 @@
             (OPERATOR_GRACE_S, functools.partial(drop, orders)),
             (OPERATOR_GRACE_S, self._replica.end_replay),
         ]
-        # Removals that were deferred belong to changes of the era before.
-        self._deferred_removals.clear()
-        if self.has_data:
-            self._recovered_s = self._era_since_s
-        self._log.write(
-            "store.era",
-            era=position.era,
-            before=before,
-            revision=position.revision,
-            source=source,
-            lost=self._replica.lost_count(),
-        )
 
     def _settle(self) -> None:
         """Ends the graces that have passed."""
