--- a/src/bramleyworks/gateway/rate_limits.py
+++ b/src/bramleyworks/gateway/rate_limits.py
@@ -187,6 +187,8 @@
         for name, (started_ms, rate_per_s, hundredths) in reports.items():
             observed_s = now_s - hundredths / 100
             known = self._limits.get(name)
+            if known is None and rate_per_s is None:
+                continue
             if known is not None and (
                 known.started_ms > started_ms
                 or known.started_ms == started_ms
