--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -1,6 +1,7 @@
 """The known upstreams and the choice of one for a request."""
 
 import collections
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -242,7 +243,8 @@
             service: Name of the service.
             versions: Versions that requests may be sent to.
             work_s: Mean processing time of its requests in seconds; a rate
-                limit keeps no more slots busy than rate times this.
+                limit keeps no more slots busy than rate times this. Infinity
+                if it is not known yet.
         """
         slots: dict[str, float] = {}
         for region in self.regions(service):
@@ -259,7 +261,7 @@
     ) -> float:
         slots = upstream.instance.slots / max(1.0, upstream.slowness)
         rate_per_s = self.rate_limits.rate_per_s(upstream.instance)
-        if rate_per_s is None:
+        if rate_per_s is None or math.isinf(work_s):
             return slots
         return min(slots, rate_per_s * work_s)
 
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -1,6 +1,7 @@
 """Guards against indexes that differ from the registered upstreams."""
 
 import dataclasses
+import math
 
 import hypothesis
 from hypothesis import strategies
@@ -80,3 +81,14 @@
     assert upstream.instance.port == 2000
     found.register("u5", make_instance("u5", port=1000))
     assert found.get("u0") is upstream
+
+
+def test_limited_upstream_counts_with_the_slots_that_it_can_keep_busy():
+    """Guards against a region that gets more requests than limits allow."""
+    found = make_registry(2)
+    slots = found.get("u0").instance.slots
+    assert found.capacity("desk", {"v1"}, 0.5)["one"] == 2 * slots
+    found.rate_limits.record(found.get("u0").instance, 2.0)
+    assert found.capacity("desk", {"v1"}, 0.5)["one"] == slots + 1.0
+    found.rate_limits.record(found.get("u0").instance, 0.0)
+    assert found.capacity("desk", {"v1"}, math.inf)["one"] == 2 * slots
