--- a/src/bramleyworks/platform/wire_config.py
+++ b/src/bramleyworks/platform/wire_config.py
@@ -31,7 +31,13 @@
     """Returns the version of a configuration, None if it is unreadable."""
     try:
         return version_number(msgspec.json.decode(raw)["version"])
-    except (msgspec.DecodeError, KeyError, ValueError, TypeError):
+    except (
+        msgspec.DecodeError,
+        KeyError,
+        ValueError,
+        TypeError,
+        AttributeError,
+    ):
         # Logged where the configuration is decoded.
         return None
 
--- a/tests/gateway/test_store_replica.py
+++ b/tests/gateway/test_store_replica.py
@@ -9,6 +9,7 @@
 from bramleyworks.gateway import store_replica
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import kv_position
+from bramleyworks.platform import wire_config
 from bramleyworks.platform import wire_updates
 
 CONFIG = "op/config"
@@ -344,9 +345,7 @@
             one, other = rng.sample(vms, 2)
             one.copy_from(other)
         for number, vm in enumerate(vms):
-            found = wire_updates.wire_config.read_version(
-                vm.value(CONFIG) or b"{}"
-            )
+            found = wire_config.read_version(vm.value(CONFIG) or b"{}")
             assert (found or 0) >= in_force[number]
             in_force[number] = found or 0
     store.write_again()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -139,3 +139,31 @@
 )
 def test_malformed_rate_limit_is_rejected(raw):
     assert wire_rate_limit.decode(raw, "u1").is_err()
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("op/config", b'{"version": 7}'),
+        ("op/config", b'{"version": "seven"}'),
+        ("op/config", b"[]"),
+        ("op/config", b"\xff"),
+        ("servers/u1", b'{"seq": "4", "born": 1}'),
+        ("servers/u1", b'{"seq": 4, "born": 1.5}'),
+        ("servers/u1", b"7"),
+        ("status/rollout/desk", b'{"state": "paused", "to_version": "v2"}'),
+        ("status/rollout/desk", b"[]"),
+        ("bw/vm/vm1", b'{"id": 3}'),
+    ],
+)
+def test_age_of_a_malformed_value_is_unknown(key, value):
+    """Guards against one malformed item that ends the sync with the store."""
+    valid = {
+        "op/config": b'{"version": "r7"}',
+        "servers/u1": json.dumps(ENTRY).encode(),
+        "status/rollout/desk": b'{"state": "done", "to_version": "v2"}',
+        "bw/vm/vm1": b"{}",
+    }[key]
+    item = kv_item.KvItem(key, value, 5)
+    assert wire_updates.compare(valid, item) is None
+    assert wire_updates.compare(value, kv_item.KvItem(key, valid, 6)) is None
