Log what the evidence of a move is made of

Change: an attempt during a move is an observation that is judged at most once; state lines show for each running move the share and, by version and route, the attempts that were judged, were bad, are open, and ended without a judgement. No decision changes.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one upstream and forwards its response."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 
@@ -152,27 +153,30 @@
             req.method == b"HEAD",
             body is None,
         )
-        sender = None
-        if body is None:
-            sender = asyncio.create_task(_send_body(req, conn))
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(_abort_unless_complete, upstream_res, conn)
+            if body is None:
+                sender = asyncio.create_task(_send_body(req, conn))
+                stack.callback(sender.cancel)
+            observation = self._cluster.moves.observe(
+                ctx.service, upstream.instance.version, ctx.route.name
+            )
+            if observation is not None:
+                stack.callback(observation.close)
             await self._wait_head(upstream_res, ctx, upstream, choice, sent_s)
             elapsed_s = self._clock() - sent_s
             self._record_reported_state(upstream_res, upstream)
             outcome = self._check_response(upstream_res, upstream)
             if outcome is not None:
                 return outcome
-            self._record_latency(
+            is_bad = self._record_latency(
                 ctx, upstream, choice, elapsed_s, upstream_res.status
             )
+            if observation is not None:
+                observation.record(is_bad)
             return await self._forward_response(
                 req, res, ctx, upstream_res, trace
             )
-        finally:
-            if sender is not None:
-                sender.cancel()
-            if not upstream_res.is_complete:
-                conn.abort()
 
     async def _wait_head(
         self,
@@ -340,12 +344,15 @@
         choice: placement.Choice,
         elapsed_s: float,
         status: int,
-    ) -> None:
+    ) -> bool:
         """Updates latency estimates from a response.
 
         A response counts only where it is known whether the upstream had the
         object cached: either this VM sent the object there recently, or
         placement expected a cache miss.
+
+        Returns:
+            Whether the response counts against the upstream's version.
         """
         registry = self._cluster.registry
         net_s = max(
@@ -360,13 +367,12 @@
         # Only responses are evidence about a version; a failed connection
         # may be due to a single upstream or its network.
         is_bad = status >= 500 or moves_module.is_slow(elapsed_s, typical_s)
-        self._observe_version(upstream, ctx, is_bad)
         if status >= 500:
-            return
+            return is_bad
         if key:
             upstream.record_object(key)
         if not is_warm and choice.is_warm:
-            return
+            return is_bad
         upstream.record_latency(elapsed_s, typical_s)
         if choice.wait_s == 0.0 and not upstream.is_cold:
             self._traffic.record_work(
@@ -376,19 +382,16 @@
                 is_warm,
                 net_s / upstream.slowness,
             )
+        return is_bad
 
-    def _observe_version(
-        self,
-        upstream: upstream_module.Upstream,
-        ctx: request_context.RequestContext,
-        is_bad: bool,
-    ) -> None:
-        self._cluster.moves.record_response(
-            ctx.service,
-            upstream.instance.version,
-            ctx.route.name,
-            is_bad,
-        )
+
+def _abort_unless_complete(
+    upstream_res: upstream_response.UpstreamResponse,
+    conn: upstream_conn.UpstreamConn,
+) -> None:
+    """Closes a connection whose response was not read to its end."""
+    if not upstream_res.is_complete:
+        conn.abort()
 
 
 async def _send_body(
--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -9,6 +9,7 @@
 from bramleyworks.gateway import heartbeat as heartbeat_module
 from bramleyworks.gateway import move_order
 from bramleyworks.gateway import move_state
+from bramleyworks.gateway import version_evidence
 from bramleyworks.policy import canary_verdict
 from bramleyworks.policy import rendezvous
 from bramleyworks.policy import weighted_round_robin
@@ -29,7 +30,7 @@
         order: The move order.
         started_s: Monotonic time of the start in seconds.
         is_aborted: Whether the new version was judged to be faulty.
-        counts: This VM's responses by ``VERSION ROUTE``.
+        evidence: This VM's evidence about both versions.
         round_robins: Choice of versions for requests without object, by route.
         object_counts: Requests with an object, and those of them sent to the
             new version, by route.
@@ -39,7 +40,7 @@
         self.order = order
         self.started_s = now_s
         self.is_aborted = False
-        self.counts: dict[str, canary_verdict.Counts] = {}
+        self.evidence = version_evidence.VersionEvidence()
         self.round_robins: dict[
             str, weighted_round_robin.WeightedRoundRobin
         ] = {}
@@ -174,17 +175,26 @@
             return move.order.to_version
         return base
 
-    def record_response(
-        self, service: str, version: str, route: str, is_bad: bool
-    ) -> None:
-        """Counts one response if a move is ordered."""
+    def observe(
+        self, service: str, version: str, route: str
+    ) -> version_evidence.Observation | None:
+        """Starts to observe an attempt, None if no move is ordered."""
         move = self._moves.get(service)
         if move is None:
-            return
-        key = f"{version} {route}"
-        counted = canary_verdict.Counts(1, int(is_bad))
-        known = move.counts.get(key, canary_verdict.Counts())
-        move.counts[key] = canary_verdict.add(known, counted)
+            return None
+        return move.evidence.observe(version, route)
+
+    def summary(self) -> dict[str, dict]:
+        """Returns share and evidence of running moves, for logs."""
+        return {
+            service: {
+                "to_version": move.order.to_version,
+                "share": round(self._share(service, move), 3),
+                "judged_bad_open_uncounted": move.evidence.summary(),
+            }
+            for service, move in self._moves.items()
+            if self._is_running(service)
+        }
 
     def merge_reports(
         self, peers: list[dict[str, heartbeat_module.MoveReport]]
@@ -224,7 +234,8 @@
                 is_drained=self._share(service, move) >= 1.0
                 and in_flight(service, move.order.to_version) == 0,
                 counts={
-                    k: (c.responses, c.bad) for k, c in move.counts.items()
+                    k: (c.responses, c.bad)
+                    for k, c in move.evidence.counts().items()
                 },
             )
             for service, move in self._moves.items()
@@ -279,7 +290,7 @@
         move: _Move,
         reports: list[heartbeat_module.MoveReport],
     ) -> None:
-        totals = dict(move.counts)
+        totals = move.evidence.counts()
         for report in reports:
             for key, (responses, bad) in report.counts.items():
                 known = totals.get(key, canary_verdict.Counts())
--- a/src/bramleyworks/gateway/state_report.py
+++ b/src/bramleyworks/gateway/state_report.py
@@ -42,6 +42,7 @@
             work_ms=traffic.work_ms(),
             demand=demand,
             shares={name: traffic.shares(name) for name in demand},
+            moves=cluster.moves.summary(),
             upstreams={
                 u.instance.id: [
                     round(u.load(), 1),
--- a/src/bramleyworks/policy/canary_verdict.py
+++ b/src/bramleyworks/policy/canary_verdict.py
@@ -30,10 +30,12 @@
     Attributes:
         responses: Requests that the version completed or failed.
         bad: Those that failed or took several times as long as usual.
+        open: Requests that it is working on.
     """
 
     responses: int = 0
     bad: int = 0
+    open: int = 0
 
 
 def share(elapsed_s: float, duration_s: float) -> float:
@@ -54,7 +56,11 @@
 
 def add(one: Counts, other: Counts) -> Counts:
     """Returns the sum of two sets of counts."""
-    return Counts(one.responses + other.responses, one.bad + other.bad)
+    return Counts(
+        one.responses + other.responses,
+        one.bad + other.bad,
+        one.open + other.open,
+    )
 
 
 def is_worse(new: Counts, old: Counts) -> bool:
