Quarantine requests that end the upstreams that run them

Cause: one request ended 51 upstreams in 20 s, and all other callers paid for it: 5,659 tries of theirs were answered with 503. Nothing was kept about a request beyond its attempts, so each VM and each repetition started anew.

Change: a request under which three upstreams ended, and that none has responded to since, is refused at once by all VMs. An upstream has ended if its connection broke during a request and it refuses new ones without having announced that it leaves; it is excluded at once. VMs exchange what they know by heartbeats. One VM tries the request again after 2 s and 20 s; a response ends the quarantine. The stand-in of upstreams can end under a request.

--- a/src/bramleyworks/gateway/attempt_outcome.py
+++ b/src/bramleyworks/gateway/attempt_outcome.py
@@ -22,8 +22,10 @@
         reason: Explanation for logs and responses.
         error_response: Status, headers and body of a complete error response
             from the upstream, if there was one.
+        is_connection_lost: Whether the connection broke during the request.
     """
 
     result: AttemptResult
     reason: str = ""
     error_response: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
+    is_connection_lost: bool = False
--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -111,7 +111,10 @@
                 else attempt_outcome.AttemptResult.FAILED
             )
             outcome = attempt_outcome.Outcome(
-                result, f"{exc.step}: {exc.reason}"
+                result,
+                f"{exc.step}: {exc.reason}",
+                is_connection_lost=exc.step
+                == upstream_conn.CONNECTION_LOST_STEP,
             )
             upstream.record_outcome(True, is_half_open)
         except asyncio.CancelledError:
--- a/src/bramleyworks/gateway/body_buffer.py
+++ b/src/bramleyworks/gateway/body_buffer.py
@@ -53,6 +53,10 @@
             self._set_reading(True)
         return data
 
+    def peek(self, max_bytes: int) -> bytes:
+        """Returns the first unread bytes without removing them."""
+        return b"".join(self._chunks)[:max_bytes]
+
     async def wait(self) -> None:
         """Waits for the next call of ``notify``."""
         self._waiter = asyncio.get_running_loop().create_future()
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -9,7 +9,9 @@
 from bramleyworks.gateway import attempt_outcome
 from bramleyworks.gateway import attempts as attempts_module
 from bramleyworks.gateway import cluster_state
+from bramleyworks.gateway import crash_detector
 from bramleyworks.gateway import event_log
+from bramleyworks.gateway import fingerprint as fingerprint_module
 from bramleyworks.gateway import quotas as quotas_module
 from bramleyworks.gateway import refused
 from bramleyworks.gateway import request as request_module
@@ -18,9 +20,11 @@
 from bramleyworks.gateway import retry_budget
 from bramleyworks.gateway import trace as trace_module
 from bramleyworks.gateway import traffic as traffic_module
+from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.gateway import upstream_selector
 from bramleyworks.platform import header_names
 from bramleyworks.policy import placement
+from bramleyworks.policy import quarantine
 from bramleyworks.policy import return_schedule
 
 # Request bodies up to this size are buffered whole before the first attempt, so
@@ -46,6 +50,7 @@
         traffic: traffic_module.Traffic,
         quotas: quotas_module.Quotas,
         retries: retry_budget.RetryBudget,
+        crashes: crash_detector.CrashDetector,
         vm_count: Callable[[str | None], int],
         record_response: Callable[[str, int, float], None],
         log: event_log.EventLog,
@@ -59,6 +64,7 @@
             traffic: Demand and the split of requests between regions.
             quotas: Rate limits of organisations.
             retries: Budget of retries.
+            crashes: Detects requests that end upstreams.
             vm_count: Returns the number of live VMs in a region, in all
                 regions for None.
             record_response: Records route, status and duration in seconds.
@@ -76,6 +82,7 @@
         self._cluster = cluster
         self._traffic = traffic
         self._retry_budget = retries
+        self._crashes = crashes
         self._vm_count = vm_count
         self._record_response = record_response
         self._log = log
@@ -136,6 +143,12 @@
         )
         self._retry_budget.record_request(ctx.service)
         body = await req.read_all(MAX_BUFFERED_REQUEST_BYTES)
+        fingerprint = fingerprint_module.compute(
+            req,
+            ctx,
+            req.peek(MAX_BUFFERED_REQUEST_BYTES) if body is None else body,
+        )
+        self._check_quarantine(ctx, fingerprint)
         tried: set[str] = set()
         error_response = None
         last = attempt_outcome.Outcome(
@@ -166,6 +179,7 @@
                 entry["reason"] = last.reason
             finally:
                 entry["ms"] = round((self._clock() - start_s) * 1000)
+            self._record_crash_evidence(upstream, fingerprint, last)
             if last.result is attempt_outcome.AttemptResult.ANSWERED:
                 return
             error_response = last.error_response or error_response
@@ -175,10 +189,59 @@
                     break
             if res.started or body is None:
                 break
+            if self._may_end_upstreams(fingerprint, last):
+                break
         self._finish_failed(
             req, res, ctx, trace, last, error_response, may_have_run
         )
 
+    def _check_quarantine(
+        self, ctx: request_context.RequestContext, fingerprint: str
+    ) -> None:
+        """Refuses a request that ends the upstreams that run it.
+
+        Raises:
+            refused.RefusedError: It is quarantined and this is no trial.
+        """
+        entry = self._crashes.quarantine.get(fingerprint)
+        if entry is None or not entry.is_quarantined:
+            return
+        if self._crashes.may_try(fingerprint):
+            return
+        self._admission.refund(ctx)
+        raise refused.RefusedError(
+            503,
+            f"{entry.blame} upstreams ended while they ran such a request "
+            f"(fingerprint {fingerprint})",
+            quarantine.QUARANTINE_TTL_S,
+        )
+
+    def _record_crash_evidence(
+        self,
+        upstream: upstream_module.Upstream,
+        fingerprint: str,
+        outcome: attempt_outcome.Outcome,
+    ) -> None:
+        """Records what an attempt shows about its request."""
+        if outcome.is_connection_lost:
+            self._crashes.record_lost_connection(upstream, fingerprint)
+        elif outcome.result in (
+            attempt_outcome.AttemptResult.ANSWERED,
+            attempt_outcome.AttemptResult.UPSTREAM_ERROR,
+        ):
+            self._crashes.record_response(fingerprint)
+
+    def _may_end_upstreams(
+        self, fingerprint: str, last: attempt_outcome.Outcome
+    ) -> bool:
+        """Returns whether a retry could end one upstream too many."""
+        entry = self._crashes.quarantine.get(fingerprint)
+        blame = entry.blame if entry else 0
+        if last.is_connection_lost:
+            # Whether the upstream has ended is not known yet.
+            blame += 1
+        return blame >= quarantine.MAX_ENDED_UPSTREAMS
+
     def _finish_failed(
         self,
         req: request_module.Request,
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -14,6 +14,7 @@
 from bramleyworks.daemon import server as server_module
 from bramleyworks.gateway import cluster_state as cluster_state_module
 from bramleyworks.gateway import control_app
+from bramleyworks.gateway import crash_detector
 from bramleyworks.gateway import directory as directory_module
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import exchange
@@ -36,6 +37,7 @@
 from bramleyworks.platform import kv_position
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import wire_updates
+from bramleyworks.policy import quarantine as quarantine_module
 
 # Interval at which limits and moves are updated.
 TICK_INTERVAL_S = 0.2
@@ -49,6 +51,8 @@
 # then idle connections are closed, then the listening socket.
 STOP_IDLE_CLOSE_DELAY_S = 0.5
 STOP_LISTEN_DELAY_S = 2.5
+# Heartbeats from one that lists all quarantined requests to the next.
+QUARANTINE_REPORT_EVERY = 6
 # Delay before a background task that failed is started again.
 TASK_RESTART_DELAY_S = 0.5
 # Part of the grace period that is reserved for the end of the process.
@@ -91,11 +95,13 @@
             self._apply_item, wire_updates.compare
         )
         self._store = kv_store.KvStore(settings.store)
+        self._quarantine = quarantine_module.Quarantine(clock)
         self._peers = peers_module.Peers(
             self._own,
             self._build_heartbeat,
             lambda: self._cluster.vms,
             self._cluster.registry,
+            self._quarantine,
             [
                 f"{address.rpartition(':')[0]}:{settings.first_port}"
                 for address in settings.seeds
@@ -130,6 +136,14 @@
             settings.retry_window_s,
             clock,
         )
+        self._crashes = crash_detector.CrashDetector(
+            self._quarantine,
+            settings.vm_id,
+            self._cluster.registry,
+            self._known_vms,
+            self._peers.request_send,
+            log,
+        )
         self._metrics = metrics_module.Metrics()
         self._exchanges = exchange.Exchanges(
             settings.region,
@@ -137,6 +151,7 @@
             self._traffic,
             self._quotas,
             self._budget,
+            self._crashes,
             self._known_vm_count,
             self._metrics.record_response,
             log,
@@ -201,6 +216,7 @@
         await self._store.open()
         stack.push_async_callback(self._store.close)
         stack.callback(self._recorder.close)
+        stack.callback(self._crashes.close)
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self._peers,
@@ -459,6 +475,9 @@
             moves=self._cluster.report_moves(),
             loads=self._load_reports(),
             limits=self._cluster.registry.rate_limits.own_reports(),
+            quarantine=self._quarantine.reports(
+                only_recent=bool(sequence % QUARANTINE_REPORT_EVERY)
+            ),
         )
 
     def _load_reports(self) -> dict[str, tuple[int, int]]:
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -57,6 +57,8 @@
         loads: Requests at each upstream as last reported to the sender, or, in
             a summary, to any VM of its region, and the age of the report in
             hundredths of a second.
+        quarantine: Requests that ended upstreams, as in ``quarantine.Report``.
+            What has not changed lately is part of every few heartbeats only.
         limits: Rate limits that upstreams name, as in ``rate_limits.Report``:
             start of the upstream, requests per second or None, and the age of
             the report in hundredths of a second.
@@ -85,6 +87,7 @@
     limits: dict[str, tuple[int, float | None, int]] = {}
     era: int = 0
     config: int = 0
+    quarantine: dict[str, tuple[list[int], list[int], int, float]] = {}
 
     @property
     def position(self) -> kv_position.Position:
@@ -103,6 +106,8 @@
             for pair in pairs.values():
                 numbers.extend(pair)
         numbers.extend(self.in_flight.values())
+        for ended, cleared, trials, age_s in self.quarantine.values():
+            numbers.extend((*ended, *cleared, trials, age_s))
         for report in self.moves.values():
             numbers.extend((report.elapsed_s, *report.open_counts.values()))
             for pair in report.counts.values():
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -24,6 +24,7 @@
 from bramleyworks.gateway import registry as registry_module
 from bramleyworks.gateway import vm as vm_module
 from bramleyworks.platform import kv_position
+from bramleyworks.policy import quarantine as quarantine_module
 from bramleyworks.policy import rendezvous
 
 # Bounds the age of what VMs know about each other's requests.
@@ -93,6 +94,7 @@
         build_heartbeat: Callable[[int], heartbeat_module.Heartbeat],
         registered: Callable[[], Mapping[str, vm_module.Vm]],
         upstreams: registry_module.Registry,
+        quarantine: quarantine_module.Quarantine,
         seeds: list[str],
         clock: Callable[[], float],
     ):
@@ -103,6 +105,7 @@
             build_heartbeat: Returns the heartbeat with a given sequence.
             registered: Returns the registered VMs by id.
             upstreams: Upstreams, whose load reports VMs exchange.
+            quarantine: Requests that ended upstreams, which VMs exchange.
             seeds: Peer addresses to send to before any VM is known.
             clock: Monotonic time in seconds.
         """
@@ -110,6 +113,7 @@
         self._build_heartbeat = build_heartbeat
         self._registered = registered
         self._upstreams = upstreams
+        self._quarantine = quarantine
         self._seeds = seeds
         self._clock = clock
         self._received: dict[str, ReceivedHeartbeat] = {}
@@ -231,6 +235,7 @@
         self._newest = max(self._newest, full.position)
         self._upstreams.record_peer_loads(heartbeat.loads)
         self._upstreams.rate_limits.record_reports(heartbeat.limits)
+        self._quarantine.merge(heartbeat.quarantine)
         if heartbeat.covered_vms:
             self._select_relay(full)
             self._forward(heartbeat, data)
--- a/src/bramleyworks/gateway/request.py
+++ b/src/bramleyworks/gateway/request.py
@@ -86,6 +86,10 @@
             return None
         return self._body.read_available()
 
+    def peek(self, max_bytes: int) -> bytes:
+        """Returns the first unread bytes of the body."""
+        return self._body.peek(max_bytes)
+
     async def read(self) -> bytes:
         """Returns the next bytes of the body, empty at its end."""
         while not self._body.size and not self.is_complete:
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -230,6 +230,12 @@
                 self.health.failures,
             )
 
+    def record_crash(self) -> None:
+        """Excludes it at once; a registration of a later start ends that."""
+        self.close()
+        self.health = outlier_detection.after_crash(self.health, self._clock())
+        logging.info("upstream %s excluded, it ended", self.instance.id)
+
     def take_cold_token(self, rate_per_s: float) -> bool:
         """Takes a token for a request during its cold start.
 
@@ -309,6 +315,15 @@
             ) from exc
         return conn
 
+    async def refuses_connections(self) -> bool:
+        """Returns whether nothing listens at its address."""
+        try:
+            conn = await self._open()
+        except errors.UpstreamError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        conn.abort()
+        return False
+
     async def is_reachable(self) -> bool:
         """Returns whether it accepts a new connection."""
         try:
--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -14,6 +14,8 @@
 # Shorter than any route's timeout, longer than several round trips between
 # regions.
 TCP_USER_TIMEOUT_MS = 2000
+# Step of errors of connections that break during a request.
+CONNECTION_LOST_STEP = "upstream.read"
 
 
 class UpstreamConn(asyncio.Protocol):
@@ -153,7 +155,8 @@
         self._usable = False
         self._writable.set()
         self._fail_response(
-            "upstream.read", str(exc) if exc else "the connection was closed"
+            CONNECTION_LOST_STEP,
+            str(exc) if exc else "the connection was closed",
         )
 
     # Callbacks of the parser.
--- a/src/bramleyworks/policy/outlier_detection.py
+++ b/src/bramleyworks/policy/outlier_detection.py
@@ -57,6 +57,15 @@
     return dataclasses.replace(state, failures=failures)
 
 
+def after_crash(
+    state: upstream_health.UpstreamHealth, now_s: float
+) -> upstream_health.UpstreamHealth:
+    """Returns the state of an upstream that is known to have ended."""
+    if state.excluded:
+        return state
+    return _excluded(state, MAX_CONSECUTIVE_FAILURES, False, now_s)
+
+
 def after_probe(
     state: upstream_health.UpstreamHealth,
     result: probe_result.ProbeResult | None,
--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import hashlib
 import json
+import os
 import sys
 import time
 
@@ -15,6 +16,8 @@
 RESPONSE_SEAL_HEADER = "X-Bramleyworks-Response-Seal"
 # Fault with which it names a rate limit, followed by the requests per second.
 LIMIT_FAULT = "limit="
+# Fault with which it ends when it begins to run a target, which follows.
+DEADLY_FAULT = "deadly="
 
 
 class SlotServer:
@@ -147,6 +150,8 @@
             self.runs.append(run)
             # Tests read the runs from the output after killing the process.
             print(json.dumps(run), flush=True)
+            if self.fault == f"{DEADLY_FAULT}{req['target']}":
+                os._exit(1)
             slow = 8 if self.fault == "slow" else 1
             await asyncio.sleep(slow * self.service_time_s)
         finally:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from bramleyworks.gateway import peers
 from bramleyworks.gateway import registry
 from bramleyworks.gateway import vm
+from bramleyworks.policy import quarantine
 
 
 class FakeNetwork:
@@ -50,6 +51,7 @@
             lambda number: self.build_heartbeat(own, number),
             lambda: self.vms,
             registry.Registry(own.region, {}, lambda: self.now_s),
+            quarantine.Quarantine(lambda: self.now_s),
             [],
             lambda: self.now_s,
         )
