Close connections after a refusal that names no request

Cause: reported by other operators, and possible here: a faulty upstream writes an earlier refusal once more when the next request has arrived on the connection. Refusals need not name their request, so the copy was taken for the answer: the caller was told that its order had not run, while the upstream ran it, or it was sent to a second upstream.

Change: a connection is not used again after a response without request id.

Measured: test_copy_of_a_refusal_is_not_taken_for_the_next_request failed before (503 for an order that ran) and passes.

--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -199,6 +199,9 @@
             return
         if not self._parser.should_keep_alive():
             self._usable = False
+        if echoed is None and self._request_id:
+            # A copy of it could not be told from the next response.
+            self._usable = False
         self._record_keep_alive(headers.get(b"keep-alive"))
         length = self._body_length(status, headers)
         self._response.feed_head(status, self._headers, length)
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -58,3 +58,51 @@
     else:
         # It may have run, and its response can not be told from the copy.
         assert status == 502
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nX-Bramleyworks-Not-Run: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+class RefusingUpstream(raw_upstream.RawUpstream):
+    """Refuses its first request, and writes that again to the second one.
+
+    Attributes:
+        runs: Requests that it ran.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.runs = 0
+        self._is_first = True
+
+    async def respond(self, reader, writer):
+        if self._is_first:
+            self._is_first = False
+            await raw_upstream.read_request_id(reader)
+            writer.write(REFUSAL)
+            await raw_upstream.read_request_id(reader)
+            self.runs += 1
+            writer.write(REFUSAL)
+            return
+        request_id = await raw_upstream.read_request_id(reader)
+        self.runs += 1
+        writer.write(_response(request_id, b"own"))
+
+
+async def test_copy_of_a_refusal_is_not_taken_for_the_next_request(tmp_path):
+    """Guards against "not run" for what an upstream runs."""
+    upstream = RefusingUpstream()
+    async with upstream.serving(), platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.write_store({"op/config": platform_fleet.config(1)})
+        fleet.upstreams["refusing"] = (upstream.address, None)
+        await fleet.register("refusing")
+        vm = await fleet.add_vm()
+        await fleet.wait_for_upstreams(vm, 1)
+        status, _, _, _ = await fleet.send_request(vm, "/order/1", "POST")
+        assert status == 503
+        await asyncio.sleep(0.2)
+        status, _, _, _ = await fleet.send_request(vm, "/order/2", "POST")
+        assert (status, upstream.runs) == (200, 1)
