Refuse requests that can not finish before a planned stop ends

Cause: reported by other operators, and possible here: a connection that was accepted after idle ones had been closed was kept until the process ended, and a request on it was passed on although the process would end before the upstream could respond. Orders ran and had no answer.

Change: while a stop is in progress a request is passed on only if twice the expected latency is left before its end; otherwise it is refused as not run. Idle connections are closed again when the VM stops listening.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -33,6 +33,9 @@
 # Callers honour Retry-After only up to this fraction of their remaining time.
 RETRY_AFTER_FRACTION = 0.3
 RETRY_AFTER_MIN_S = 0.02
+# Multiple of the expected latency that must be left before a planned stop ends;
+# a request that is cut off then has no answer, and may have run.
+STOP_LATENCY_FACTOR = 2.0
 
 
 class Exchanges:
@@ -40,6 +43,7 @@
 
     Attributes:
         is_draining: Whether connections close after their current response.
+        ends_s: Monotonic time at which a planned stop ends in seconds.
         running: Exchanges in flight.
     """
 
@@ -88,6 +92,7 @@
         self._log = log
         self._clock = clock
         self.is_draining = False
+        self.ends_s = math.inf
         self.running = 0
 
     def start(
@@ -161,6 +166,13 @@
                 if number == 0:
                     raise self._no_capacity(ctx, choice)
                 break
+            if not self._may_finish(choice):
+                if number == 0:
+                    self._admission.refund(ctx)
+                    raise refused.RefusedError(
+                        503, "this VM stops too soon", RETRY_AFTER_MIN_S
+                    )
+                break
             if number and not self._retry_budget.try_retry(
                 ctx.service, self._vm_count(None)
             ):
@@ -195,6 +207,11 @@
             req, res, ctx, trace, last, error_response, may_have_run
         )
 
+    def _may_finish(self, choice: placement.Choice) -> bool:
+        """Returns whether an attempt may finish before a stop ends."""
+        needed_s = STOP_LATENCY_FACTOR * choice.expected_s
+        return self._clock() + needed_s < self.ends_s
+
     def _check_quarantine(
         self, ctx: request_context.RequestContext, fingerprint: str
     ) -> None:
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -314,6 +314,7 @@
         deadline_s = started_s + self._cfg.grace_s - STOP_MARGIN_S
         self._log.write("stop", running=self._exchanges.running)
         self._exchanges.is_draining = True
+        self._exchanges.ends_s = deadline_s
         self._peers.send()
         # A store that does not respond must not delay the stop.
         withdrawal = asyncio.create_task(self._registration.withdraw())
@@ -333,6 +334,8 @@
             ):
                 is_listening_stopped = True
                 self._front.stop_listening()
+                # Connections that came since the first time.
+                self._front.drain()
             if is_listening_stopped and (
                 not self._front.busy_conns or now_s >= deadline_s
             ):
