Send nothing more to upstreams whose responses say that they leave

Cause: an upstream that leaves says so in its responses (Server-Leaving), and nothing read it; a VM learned of it from the store only.

Change: a VM that has received it sends no further request to that start of the upstream, whatever older registrations say; its end is no crash. A line upstream.leaving tells of it.

Measured: test_upstream_that_says_it_leaves_gets_no_further_request; by design it fails without the change, as the header was read nowhere.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -37,6 +37,7 @@
 JUDGEMENT_MARGIN_S = 0.3
 # Status with which a server refuses a request meant for another one.
 MISDIRECTED_STATUS = 421
+LEAVING_VALUE = b"1"
 
 
 class Attempts:
@@ -350,7 +351,7 @@
         upstream_res: upstream_response.UpstreamResponse,
         upstream: upstream_module.Upstream,
     ) -> None:
-        """Records the load, cold-start time and rate limit in headers."""
+        """Records what an upstream says about itself in headers."""
         upstream.last_response_s = self._clock()
         if upstream_res.status == MISDIRECTED_STATUS:
             # Another upstream has the address now.
@@ -364,6 +365,8 @@
         if cold_ms is not None and cold_ms.strip().isdigit():
             upstream.record_cold_time(int(cold_ms) / 1000)
         self._record_rate_limit(upstream_res, upstream)
+        if upstream_res.get(header_names.LEAVING) == LEAVING_VALUE:
+            self._cluster.record_leaving(upstream)
 
     def _record_rate_limit(
         self,
--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -98,6 +98,16 @@
                 before=before,
             )
 
+    def record_leaving(self, upstream: upstream_module.Upstream) -> None:
+        """Records that an upstream leaves, as its response said."""
+        if not upstream.is_leaving:
+            upstream.is_leaving = True
+            self._log.write(
+                "upstream.leaving",
+                upstream=upstream.instance.id,
+                service=upstream.instance.service,
+            )
+
     def apply(self, update: store_updates.Update) -> None:
         """Applies a store update and logs the change."""
         _apply_update(update, self)
--- a/src/bramleyworks/gateway/crash_detector.py
+++ b/src/bramleyworks/gateway/crash_detector.py
@@ -114,6 +114,7 @@
         if (
             current is None
             or current.instance.is_draining
+            or current.is_leaving
             or current.instance.started_ms != instance.started_ms
         ):
             return
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -215,6 +215,7 @@
                 and instance.version in versions
                 and instance.failure_domain not in self._evacuated
                 and not upstream.is_excluded
+                and not upstream.is_leaving
             ):
                 yield upstream
 
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -56,6 +56,7 @@
         health: Outlier detection state.
         last_response_s: Monotonic time in seconds at which it last responded.
         first_seen_s: Monotonic time in seconds at which it was first seen.
+        is_leaving: Whether a response said that it leaves.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.last_response_s = -math.inf
         self.first_seen_s = clock()
         self.health = upstream_health.UpstreamHealth()
+        self.is_leaving = False
         self._reported_others = 0.0
         self._reported_s = -math.inf
         # Load and time of the latest report to this VM, and to any VM.
@@ -125,6 +127,7 @@
             self._slowness = 1.0
             self._reported_others = 0.0
             self._cached_objects.clear()
+            self.is_leaving = False
             self.close()
         self.instance = instance
         self.record_cold_time(instance.cold_left_s)
--- a/src/bramleyworks/gateway/version_evidence.py
+++ b/src/bramleyworks/gateway/version_evidence.py
@@ -73,6 +73,9 @@
             return
         sent_s = clock()
         await asyncio.sleep(self._slow_after_s)
+        if upstream.is_leaving:
+            # It wants no further request, not even a health check.
+            return
         if upstream.last_response_s > sent_s or await upstream.is_responsive(
             health_path
         ):
--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -90,7 +90,10 @@
             return await self._send(writer, 200, {}, b"")
         if req["target"] == "/status":
             body = json.dumps(
-                {"runs": self.runs, "cancelled": self.cancelled}
+                {
+                    "runs": self.runs,
+                    "cancelled": self.cancelled,
+                }
             ).encode()
             return await self._send(writer, 200, {}, body)
         headers = req["headers"]
@@ -202,6 +205,8 @@
         headers = {"X-Bramleyworks-Server-Load": load}
         if self.fault.startswith(LIMIT_FAULT):
             headers["Server-Limit"] = self.fault.removeprefix(LIMIT_FAULT)
+        if self.fault == "leaving":
+            headers["Server-Leaving"] = "1"
         return headers
 
     def _response_head(self, status, headers, length) -> bytes:
--- /dev/null
+++ b/tests/gateway/test_upstream_wishes.py
@@ -0,0 +1,46 @@
+"""Upstreams that say in responses that they want no more requests."""
+
+import asyncio
+
+from support import platform_fleet
+
+
+async def _send(fleet, vm, count, method="GET"):
+    sent = [
+        await fleet.send_request(vm, f"/open/{n}", method) for n in range(count)
+    ]
+    return [status for status, *_ in sent]
+
+
+async def _send_at_once(fleet, vm, count):
+    """Sends more requests than one upstream has slots."""
+    await asyncio.gather(*(_send(fleet, vm, 1) for _ in range(count)))
+
+
+async def _run_counts(fleet):
+    return {
+        name: len((await fleet.upstream_status(name))["runs"])
+        for name in ("u1", "u2")
+    }
+
+
+async def test_upstream_that_says_it_leaves_gets_no_further_request(tmp_path):
+    """Guards against sending until the store tells of the leaving."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        await _send(fleet, vm, 20)
+        await fleet.upstream_fault("u1", "leaving")
+        before = await _run_counts(fleet)
+        assert await _send(fleet, vm, 40) == [200] * 40
+        # A heartbeat in the store that is older does not bring it back.
+        await fleet.register("u1")
+        await asyncio.sleep(0.3)
+        assert await _send(fleet, vm, 20) == [200] * 20
+        after = await _run_counts(fleet)
+        assert after["u1"] - before["u1"] <= 1
+        await fleet.upstream_fault("u1", "")
+        await fleet.register("u1", born=2)
+        await asyncio.sleep(0.3)
+        await _send_at_once(fleet, vm, 8)
+        assert (await _run_counts(fleet))["u1"] > after["u1"]
