Leave upstreams alone for the time that they ask for

Cause: an upstream that turns a request away with 503 may add Retry-After, and nothing read it: it got further requests after the usual backoff of 0.1 s.

Change: the VM that got it sends nothing to that upstream until the time is over, no health check either; it counts as no room in the plan of regions meanwhile. When all upstreams have asked for a pause, callers are told the shortest one. The decoder of decimal numbers serves both headers.

Measured: tests/gateway/test_upstream_wishes.py.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -21,7 +21,7 @@
 from bramleyworks.gateway import upstream_response
 from bramleyworks.gateway import version_evidence
 from bramleyworks.platform import header_names
-from bramleyworks.platform import wire_rate_limit
+from bramleyworks.platform import wire_decimal
 from bramleyworks.policy import canary_verdict
 from bramleyworks.policy import placement
 
@@ -37,6 +37,8 @@
 JUDGEMENT_MARGIN_S = 0.3
 # Status with which a server refuses a request meant for another one.
 MISDIRECTED_STATUS = 421
+# Status with which a server may ask for a pause.
+OVERLOADED_STATUS = 503
 LEAVING_VALUE = b"1"
 
 
@@ -367,6 +369,19 @@
         self._record_rate_limit(upstream_res, upstream)
         if upstream_res.get(header_names.LEAVING) == LEAVING_VALUE:
             self._cluster.record_leaving(upstream)
+        pause = upstream_res.get(header_names.RETRY_AFTER)
+        if upstream_res.status == OVERLOADED_STATUS and pause is not None:
+            self._record_pause(pause, upstream)
+
+    def _record_pause(
+        self, raw: bytes, upstream: upstream_module.Upstream
+    ) -> None:
+        """Records for how long an upstream wants no requests."""
+        decoded = wire_decimal.decode(raw, "pause.decode", upstream.instance.id)
+        if decoded.is_err():
+            logging.warning("%s", decoded.unwrap_err())
+            return
+        self._cluster.record_pause(upstream, decoded.unwrap())
 
     def _record_rate_limit(
         self,
@@ -380,7 +395,9 @@
             if upstream_res.get(header_names.SIGNATURE) is not None:
                 self._cluster.record_rate_limit(upstream, None)
             return
-        decoded = wire_rate_limit.decode(raw, upstream.instance.id)
+        decoded = wire_decimal.decode(
+            raw, "rate_limit.decode", upstream.instance.id
+        )
         if decoded.is_err():
             logging.warning("%s", decoded.unwrap_err())
             return
--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -108,6 +108,18 @@
                 service=upstream.instance.service,
             )
 
+    def record_pause(
+        self, upstream: upstream_module.Upstream, pause_s: float
+    ) -> None:
+        """Records that an upstream wants no request of this VM for a while."""
+        upstream.record_pause(pause_s)
+        self._log.write(
+            "upstream.pause",
+            upstream=upstream.instance.id,
+            service=upstream.instance.service,
+            pause_s=round(pause_s, 3),
+        )
+
     def apply(self, update: store_updates.Update) -> None:
         """Applies a store update and logs the change."""
         _apply_update(update, self)
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -216,9 +216,23 @@
                 and instance.failure_domain not in self._evacuated
                 and not upstream.is_excluded
                 and not upstream.is_leaving
+                and not upstream.pause_s
             ):
                 yield upstream
 
+    def shortest_pause_s(self, service: str) -> float:
+        """Returns the seconds until a paused upstream may get requests.
+
+        0 if no upstream of the service has asked for a pause.
+        """
+        pauses = [
+            u.pause_s
+            for upstreams in self._by_service.get(service, {}).values()
+            for u in upstreams
+            if u.pause_s
+        ]
+        return min(pauses, default=0.0)
+
     def send_wait_s(self, upstream: upstream_module.Upstream) -> float:
         """Returns the seconds until its rate limit lets this VM send to it.
 
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -41,6 +41,8 @@
 # how long. Upstream caches have about this capacity.
 MAX_CACHED_OBJECTS = 64
 CACHED_OBJECT_TTL_S = 30.0
+# Longest pause that an upstream can ask for.
+MAX_PAUSE_S = 600.0
 # Backoff after an upstream shed a request.
 SHED_BACKOFF_S = 0.1
 
@@ -77,6 +79,7 @@
         self.first_seen_s = clock()
         self.health = upstream_health.UpstreamHealth()
         self.is_leaving = False
+        self._paused_until_s = -math.inf
         self._reported_others = 0.0
         self._reported_s = -math.inf
         # Load and time of the latest report to this VM, and to any VM.
@@ -115,6 +118,11 @@
         """Whether it shed a request a moment ago."""
         return self._clock() < self._backoff_until_s
 
+    @property
+    def pause_s(self) -> float:
+        """Seconds for which it still wants no request of this VM."""
+        return max(0.0, self._paused_until_s - self._clock())
+
     @property
     def slowness(self) -> float:
         """Its latency relative to a typical upstream."""
@@ -128,6 +136,7 @@
             self._reported_others = 0.0
             self._cached_objects.clear()
             self.is_leaving = False
+            self._paused_until_s = -math.inf
             self.close()
         self.instance = instance
         self.record_cold_time(instance.cold_left_s)
@@ -201,6 +210,11 @@
         self.last_response_s = now_s
         self._backoff_until_s = now_s + SHED_BACKOFF_S
 
+    def record_pause(self, pause_s: float) -> None:
+        """Records that it wants no request of this VM for some seconds."""
+        until_s = self._clock() + min(pause_s, MAX_PAUSE_S)
+        self._paused_until_s = max(self._paused_until_s, until_s)
+
     def record_latency(self, work_s: float, expected_s: float) -> None:
         """Updates its slowness with the processing time of a request.
 
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -123,6 +123,10 @@
                 first_rejected = choice
         if limited and first_rejected.wait_s == 0.0:
             return None, self._limited_choice(limited, demand)
+        if not by_region:
+            wait_s = registry.shortest_pause_s(ctx.service)
+            work_s = demand.cold_work_s
+            return None, placement.Choice(None, wait_s + work_s, wait_s, work_s)
         return None, first_rejected
 
     def _limited_choice(
--- a/src/bramleyworks/gateway/version_evidence.py
+++ b/src/bramleyworks/gateway/version_evidence.py
@@ -73,7 +73,7 @@
             return
         sent_s = clock()
         await asyncio.sleep(self._slow_after_s)
-        if upstream.is_leaving:
+        if upstream.is_leaving or upstream.pause_s:
             # It wants no further request, not even a health check.
             return
         if upstream.last_response_s > sent_s or await upstream.is_responsive(
--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -18,6 +18,8 @@
 LIMIT_FAULT = "limit="
 # Fault with which it ends when it begins to run a target, which follows.
 DEADLY_FAULT = "deadly="
+# Fault with which it asks for a pause, followed by the seconds.
+PAUSE_FAULT = "pause="
 
 
 class SlotServer:
@@ -29,6 +31,7 @@
         service_time_s: Service time in seconds.
         runs: Requests that got a slot, in order.
         cancelled: Requests whose client disconnected before the response.
+        paused: Requests that it turned away with the wish for a pause.
         fault: Name of the injected fault, empty for none.
     """
 
@@ -38,6 +41,7 @@
         self.service_time_s = service_time_s
         self.runs: list[dict] = []
         self.cancelled = 0
+        self.paused = 0
         self.fault = ""
         self.held: dict[str, int] = {}
         self._free_slots = asyncio.Semaphore(slots)
@@ -93,6 +97,7 @@
                 {
                     "runs": self.runs,
                     "cancelled": self.cancelled,
+                    "paused": self.paused,
                 }
             ).encode()
             return await self._send(writer, 200, {}, body)
@@ -108,6 +113,18 @@
             )
         if self.fault == "silent":
             await asyncio.sleep(60)
+        if self.fault.startswith(PAUSE_FAULT):
+            self.paused += 1
+            return await self._send(
+                writer,
+                503,
+                self._load_header()
+                | {
+                    "X-Bramleyworks-Not-Run": "1",
+                    "Retry-After": self.fault.removeprefix(PAUSE_FAULT),
+                },
+                b"",
+            )
         is_queue_full = self._waiting >= QUEUED_PER_SLOT * self.slots
         if self.fault == "shed" or is_queue_full:
             return await self._send(
--- a/tests/gateway/test_upstream_wishes.py
+++ b/tests/gateway/test_upstream_wishes.py
@@ -44,3 +44,49 @@
         await asyncio.sleep(0.3)
         await _send_at_once(fleet, vm, 8)
         assert (await _run_counts(fleet))["u1"] > after["u1"]
+
+
+async def test_upstream_that_asks_for_a_pause_is_left_alone_for_it(tmp_path):
+    """Guards against requests that an upstream has to turn away again."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        await fleet.upstream_fault("u1", "pause=2.5")
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 2.0
+        while loop.time() < end_s:
+            assert set(await _send(fleet, vm, 10)) == {200}
+        assert (await fleet.upstream_status("u1"))["paused"] == 1
+        await fleet.upstream_fault("u1", "")
+        before = await _run_counts(fleet)
+        await asyncio.sleep(0.7)
+        await _send_at_once(fleet, vm, 8)
+        assert (await _run_counts(fleet))["u1"] > before["u1"]
+
+
+async def test_caller_is_told_when_all_upstreams_have_asked_for_a_pause(
+    tmp_path,
+):
+    """Guards against callers that come back while nobody can serve them."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        for name in ("u1", "u2"):
+            await fleet.upstream_fault(name, "pause=0.4")
+        assert await _send(fleet, vm, 1, "POST") == [503]
+        status, headers, _, _ = await fleet.send_request(vm, "/open/1")
+        assert status == 503
+        assert 0.1 < float(headers["Retry-After"]) <= 0.4
+        for name in ("u1", "u2"):
+            assert (await fleet.upstream_status(name))["paused"] == 1
+
+
+async def test_malformed_wishes_change_nothing(tmp_path):
+    async with platform_fleet.small_fleet(tmp_path, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 1)
+        await fleet.upstream_fault("u1", "pause=Fri, 31 Dec 1999 23:59:59 GMT")
+        assert await _send(fleet, vm, 1) == [503]
+        await fleet.upstream_fault("u1", "")
+        await asyncio.sleep(0.2)
+        assert await _send(fleet, vm, 1) == [200]
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 from bramleyworks.gateway import store_updates
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import wire_config
-from bramleyworks.platform import wire_rate_limit
+from bramleyworks.platform import wire_decimal
 from bramleyworks.platform import wire_updates
 from bramleyworks.platform import wire_upstream
 
@@ -131,14 +131,14 @@
     [(b"4.7", 4.7), (b" 2 ", 2.0), (b"0", 0.0), (b"0.25", 0.25)],
 )
 def test_rate_limit_is_decoded(raw, rate_per_s):
-    assert wire_rate_limit.decode(raw, "u1").unwrap() == rate_per_s
+    assert wire_decimal.decode(raw, "rate", "u1").unwrap() == rate_per_s
 
 
 @pytest.mark.parametrize(
     "raw", [b"", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"4,7", b"\xff", b"."]
 )
 def test_malformed_rate_limit_is_rejected(raw):
-    assert wire_rate_limit.decode(raw, "u1").is_err()
+    assert wire_decimal.decode(raw, "rate", "u1").is_err()
 
 
 @pytest.mark.parametrize(
