Load both upstreams in the test of pauses

Cause: the test passed without the change that it guards, as one upstream alone took all requests.

Change: more requests at a time than one upstream has slots.

--- a/tests/gateway/test_upstream_wishes.py
+++ b/tests/gateway/test_upstream_wishes.py
@@ -52,14 +52,16 @@
         vm = fleet.vms[0]
         await fleet.wait_for_upstreams(vm, 2)
         await fleet.upstream_fault("u1", "pause=2.5")
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + 2.0
-        while loop.time() < end_s:
-            assert set(await _send(fleet, vm, 10)) == {200}
-        assert (await fleet.upstream_status("u1"))["paused"] == 1
+        await _send_at_once(fleet, vm, 10)
+        await asyncio.sleep(0.5)
+        asked = (await fleet.upstream_status("u1"))["paused"]
+        assert asked > 0
+        for _ in range(12):
+            await _send_at_once(fleet, vm, 10)
+        assert (await fleet.upstream_status("u1"))["paused"] == asked
         await fleet.upstream_fault("u1", "")
         before = await _run_counts(fleet)
-        await asyncio.sleep(0.7)
+        await asyncio.sleep(2.5)
         await _send_at_once(fleet, vm, 8)
         assert (await _run_counts(fleet))["u1"] > before["u1"]
 
