Take a move back that is suspect at its deadline

Cause: found while reading the change: a version that was confirmed and became suspect kept its share, and neither finished nor was taken back.

Change: at the deadline a move whose share may not rise is taken back.

Measured: test_suspect_version_is_taken_back_at_its_deadline; without the change the move stays as it is.

--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -351,14 +351,12 @@
                 new.responses - new.bad,
                 new.responses,
             )
-        may_rise = move.is_confirmed or canary_verdict.may_rise(
-            new, visible_fraction
+        may_rise = not is_suspect and (
+            move.is_confirmed or canary_verdict.may_rise(new, visible_fraction)
         )
-        self._update_share(move, may_rise and not is_suspect)
-        elapsed_s = self._clock() - move.started_s
-        if elapsed_s >= move.order.duration_s and not (
-            may_rise or move.share >= 1.0
-        ):
+        self._update_share(move, may_rise)
+        is_late = self._clock() - move.started_s >= move.order.duration_s
+        if is_late and not may_rise and move.share < 1.0:
             self._abort(service, move, "and too few good until the end", new)
 
     def _update_share(self, move: _Move, may_rise: bool) -> None:
--- a/tests/gateway/test_move_model.py
+++ b/tests/gateway/test_move_model.py
@@ -202,6 +202,22 @@
     assert fleet.finished[0] is move_state.MovePhase.REVERTED
 
 
+def test_suspect_version_is_taken_back_at_its_deadline():
+    """Guards against moves that neither finish nor are taken back."""
+    now = [0.0]
+    vm = moves.Moves(lambda: now[0])
+    vm.update_order("desk", move_order.MoveOrder("desk", "v2", 16.0))
+    for number in range(30):
+        seen = vm.observe("desk", "v2", "pull", 1.0)
+        seen.record_response(500 if number % 10 == 9 else 200, 0.1)
+    while now[0] < 16.5:
+        now[0] += TICK_S
+        vm.merge_reports([], 1.0)
+    own = vm.build_reports(lambda *_: 0)
+    ((_, state),) = vm.due_states(own, [], lambda _: False)
+    assert state.phase is move_state.MovePhase.REVERTED
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("routes", [VENDOR, ARCHIVE])
 def test_version_that_fails_on_one_route_is_found_there(routes, seed):
