Keep later ends of requests that were cleared, and report quarantine first

Cause: found while reading the change: an entry that was full of cleared ends took no later ones, and suspects could crowd quarantined requests out of a heartbeat.

Change: such an entry starts anew, reports are ordered by blame, and merged entries are bounded.

--- a/src/bramleyworks/gateway/fingerprint.py
+++ b/src/bramleyworks/gateway/fingerprint.py
@@ -13,8 +13,9 @@
 ) -> str:
     """Returns the fingerprint of a request.
 
-    The caller is part of it, so that nobody can get the requests of others
-    into quarantine. Of a long body only the start is known before it is sent.
+    The organisation is part of it, so that no other one can get its requests
+    into quarantine; callers of public routes can not be told apart. Of a long
+    body only the start is known before it is sent.
 
     Args:
         req: The request.
--- a/src/bramleyworks/policy/quarantine.py
+++ b/src/bramleyworks/policy/quarantine.py
@@ -28,6 +28,7 @@
 # Bounds on memory and messages. Each entry has cost an upstream.
 MAX_ENTRIES = 512
 MAX_ENDS_PER_ENTRY = 16
+MAX_MERGED_ENDS = 64
 MAX_REPORTED = 32
 # Time for which a change is part of each report; later ones are reported only
 # where all entries are.
@@ -105,8 +106,13 @@
         """
         now_s = self._clock()
         known = self.get(fingerprint) or Entry()
-        if upstream in known.ended or len(known.ended) >= MAX_ENDS_PER_ENTRY:
+        if upstream in known.ended:
             return known
+        if len(known.ended) >= MAX_ENDS_PER_ENTRY:
+            if known.blame:
+                return known
+            # It was served again and again; only later ends count.
+            known = Entry()
         entry = dataclasses.replace(
             known,
             ended=known.ended | {upstream},
@@ -160,7 +166,9 @@
             for fingerprint, entry in self._entries.items()
             if entry.changed_s >= oldest_s and not self._is_expired(entry)
         ]
-        found.sort(key=lambda item: item[1].changed_s, reverse=True)
+        found.sort(
+            key=lambda item: (item[1].blame, item[1].changed_s), reverse=True
+        )
         return {
             fingerprint: (
                 sorted(entry.ended),
@@ -178,13 +186,18 @@
             known = self.get(fingerprint) or Entry()
             merged = dataclasses.replace(
                 known,
-                ended=known.ended | frozenset(ended[:MAX_ENDS_PER_ENTRY]),
-                cleared=known.cleared | frozenset(cleared[:MAX_ENDS_PER_ENTRY]),
+                ended=known.ended | frozenset(ended),
+                cleared=known.cleared | frozenset(cleared),
                 trials=max(known.trials, trials),
                 since_s=max(known.since_s, now_s - age_s),
             )
-            if self._is_expired(merged) or (
-                merged == dataclasses.replace(known, since_s=merged.since_s)
+            has_news = merged != dataclasses.replace(
+                known, since_s=merged.since_s
+            )
+            if (
+                not has_news
+                or self._is_expired(merged)
+                or len(merged.ended | merged.cleared) > MAX_MERGED_ENDS
             ):
                 continue
             self._store(
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -127,6 +127,29 @@
     assert kept.get("deadly") is not None
 
 
+def test_request_that_becomes_deadly_after_many_crashes_is_quarantined():
+    """Guards against entries that are full of ends that were cleared."""
+    kept = quarantine.Quarantine(lambda: 10.0)
+    for upstream in range(40):
+        kept.record_end("f", upstream)
+        kept.record_response("f")
+    for upstream in range(100, 103):
+        kept.record_end("f", upstream)
+    assert kept.get("f").is_quarantined
+
+
+def test_quarantined_requests_are_reported_before_suspects():
+    """Guards against many lost requests that crowd out what others need."""
+    now = [10.0]
+    kept = quarantine.Quarantine(lambda: now[0])
+    for upstream in range(3):
+        kept.record_end("deadly", upstream)
+    now[0] += 1.0
+    for number in range(100):
+        kept.record_end(f"f{number}", 50)
+    assert "deadly" in kept.reports(only_recent=True)
+
+
 def test_old_reports_do_not_keep_an_entry_for_ever():
     now = [10.0]
     one = quarantine.Quarantine(lambda: now[0])
