Never take the target of a move for the old version

Cause: found by the soak: a VM that starts during a move took the new version for the old one when both had as many upstreams. It sent all requests to the version on trial, whatever its share, and after the move was taken back and its records were lost it refused all requests.

Change: the target of a move that is not done does not become the base version of a service.

Measured: test_vm_that_started_during_a_move_returns_to_the_old_version failed before (eligible versions v2 alone) and passes.

--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -62,14 +62,20 @@
             found.health_path if found else service_module.DEFAULT_HEALTH_PATH
         )
 
-    def eligible_versions(self, service: str) -> set[str]:
-        """Returns the versions of a service that requests may be sent to."""
+    def base_version(self, service: str) -> str | None:
+        """Returns the version of a service that serves apart from moves."""
         finished = self.moves.base_version(service)
         if finished is not None:
             self.registry.set_base_version(service, finished)
+        return self.registry.base_version(
+            service, self.moves.target_version(service)
+        )
+
+    def eligible_versions(self, service: str) -> set[str]:
+        """Returns the versions of a service that requests may be sent to."""
         return self.moves.eligible_versions(
             service,
-            self.registry.base_version(service),
+            self.base_version(service),
             self.registry.running_versions(service),
         )
 
--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -112,7 +112,7 @@
         """
         move = self._moves.get(service)
         phase = self._phase(service)
-        to_version = self._target_version(service)
+        to_version = self.target_version(service)
         if phase is move_state.MovePhase.DONE:
             return {to_version}
         if move is None or self._is_aborted(service):
@@ -411,7 +411,8 @@
             return None
         return state.phase
 
-    def _target_version(self, service: str) -> str | None:
+    def target_version(self, service: str) -> str | None:
+        """Returns the version of the latest move order or recorded state."""
         move = self._moves.get(service)
         if move is not None:
             return move.order.to_version
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -177,16 +177,30 @@
         counts = self._versions.get(service, {})
         return {version for version, count in counts.items() if count > 0}
 
-    def base_version(self, service: str) -> str | None:
+    def base_version(
+        self, service: str, undecided: str | None = None
+    ) -> str | None:
         """Returns the version that serves while no move is ordered.
 
         It is the one that most upstreams ran when the service was first seen;
         upstreams of other versions get no requests until a move is ordered.
+
+        Args:
+            service: Name of the service.
+            undecided: Target of a move that is not done, None for no move. A
+                VM that starts during the move must not take it for the base.
         """
         known = self._base_versions.get(service)
         if known is None and self.running_versions(service):
             counts = self._versions[service]
-            known = max(counts, key=lambda version: (counts[version], version))
+            known = max(
+                counts,
+                key=lambda version: (
+                    version != undecided and counts[version] > 0,
+                    counts[version],
+                    version,
+                ),
+            )
             self._base_versions[service] = known
         return known
 
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -66,7 +66,7 @@
         """
         registry = self._cluster.registry
         versions = self._cluster.eligible_versions(ctx.service)
-        base_version = registry.base_version(ctx.service)
+        base_version = self._cluster.base_version(ctx.service)
         move_version = self._cluster.moves.choose_version(
             ctx.service, ctx.route.name, ctx.object_key, base_version
         )
--- /dev/null
+++ b/tests/gateway/test_base_version.py
@@ -0,0 +1,54 @@
+"""Which version serves when a move is over."""
+
+import time
+
+from bramleyworks.gateway import cluster_state
+from bramleyworks.gateway import event_log
+from bramleyworks.gateway import instance
+from bramleyworks.gateway import move_order
+from bramleyworks.gateway import move_state
+from bramleyworks.gateway import store_updates
+
+
+def _instance(name, version, is_draining=False):
+    return instance.Instance(
+        name,
+        "desk",
+        "127.0.0.1",
+        int(name[1:]),
+        "one-a",
+        version,
+        4,
+        is_draining,
+        0.0,
+        1,
+    )
+
+
+def test_vm_that_started_during_a_move_returns_to_the_old_version(tmp_path):
+    """Guards against refusing all requests once order and state are gone."""
+    with open(tmp_path / "log", "wb") as out:
+        cluster = cluster_state.ClusterState(
+            "one",
+            {"one-a": "one"},
+            event_log.EventLog("vm1", out.fileno()),
+            time.monotonic,
+        )
+        order = move_order.MoveOrder("desk", "v2", 8.0)
+        cluster.apply(store_updates.MoveOrderUpdate("desk", order))
+        for name, version in (
+            ("i1", "v1"),
+            ("i2", "v1"),
+            ("i3", "v2"),
+            ("i4", "v2"),
+        ):
+            cluster.apply(
+                store_updates.InstanceUpdate(name, _instance(name, version), 1)
+            )
+        assert cluster.eligible_versions("desk") == {"v1", "v2"}
+        state = move_state.MoveState("v2", move_state.MovePhase.REVERTED)
+        cluster.apply(store_updates.MoveStateUpdate("desk", state))
+        assert cluster.eligible_versions("desk") == {"v1"}
+        cluster.apply(store_updates.MoveOrderUpdate("desk", None))
+        cluster.apply(store_updates.MoveStateUpdate("desk", None))
+        assert cluster.eligible_versions("desk") == {"v1"}
