Keep the limit of a stand-in beside its other faults

The stand-in of upstreams had one fault at a time.

Change: the stand-in names a limit beside any other fault, until it is ended, so that the check holds over its whole time. The check itself is unchanged.

--- a/src/bramleyworks_standins/slot_server.py
+++ b/src/bramleyworks_standins/slot_server.py
@@ -1,7 +1,8 @@
 """Stand-in for an upstream of the platform.
 
 ``python -m ... HOST:PORT ID SLOTS WORK_MS``. ``POST /faults`` sets the fault to
-inject, ``GET /status`` returns the requests it ran. Neither needs a slot.
+inject or the limit to name, ``GET /status`` returns the requests it ran.
+Neither needs a slot.
 """
 
 import asyncio
@@ -14,8 +15,9 @@
 QUEUED_PER_SLOT = 3
 ATTEMPT_ID_HEADER = "x-bramleyworks-attempt-id"
 RESPONSE_SEAL_HEADER = "X-Bramleyworks-Response-Seal"
-# Fault with which it names a rate limit, followed by the requests per second.
-LIMIT_FAULT = "limit="
+# Prefix of a limit in requests per second, empty to end it. A limit is named
+# beside any other fault.
+LIMIT_PREFIX = "limit="
 # Fault with which it ends when it begins to run a target, which follows.
 DEADLY_FAULT = "deadly="
 # Fault with which it asks for a pause, followed by the seconds.
@@ -33,6 +35,8 @@
         cancelled: Requests whose client disconnected before the response.
         paused: Requests that it turned away with the wish for a pause.
         fault: Name of the injected fault, empty for none.
+        rate_limit: Requests per second that it names as its limit, empty for
+            none.
     """
 
     def __init__(self, identity: str, slots: int, service_time_s: float):
@@ -43,7 +47,7 @@
         self.cancelled = 0
         self.paused = 0
         self.fault = ""
-        self.held: dict[str, int] = {}
+        self.rate_limit = ""
         self._free_slots = asyncio.Semaphore(slots)
         self._running = 0
         self._waiting = 0
@@ -90,7 +94,10 @@
 
     async def _handle_request(self, req, reader, writer) -> bool:
         if req["target"] == "/faults":
-            self.fault = req["body"]
+            if req["body"].startswith(LIMIT_PREFIX):
+                self.rate_limit = req["body"].removeprefix(LIMIT_PREFIX)
+            else:
+                self.fault = req["body"]
             return await self._send(writer, 200, {}, b"")
         if req["target"] == "/status":
             body = json.dumps(
@@ -220,8 +227,8 @@
     def _load_header(self) -> dict:
         load = f"{self._running},{self._waiting},{self.slots}"
         headers = {"X-Bramleyworks-Server-Load": load}
-        if self.fault.startswith(LIMIT_FAULT):
-            headers["Server-Limit"] = self.fault.removeprefix(LIMIT_FAULT)
+        if self.rate_limit:
+            headers["Server-Limit"] = self.rate_limit
         if self.fault == "leaving":
             headers["Server-Leaving"] = "1"
         return headers
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -288,7 +288,7 @@
         self.rec.limits.append(
             record.Limit(name, float(fault.variant), start_s, time.monotonic())
         )
-        await self._set_upstream_fault(name, "")
+        await self._set_upstream_fault(name, "limit=")
 
     async def _set_upstream_fault(self, name, variant):
         """Sets the fault of an upstream that another fault may have killed."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,10 +6,13 @@
 # Seeds of the short run in CI: two with many faults, one with few.
 SEEDS = (1, 2, 3)
 # Seed and cause of each run that once violated an invariant; never removed.
-REGRESSIONS = {}
+REGRESSIONS = {
+    1: "another fault ended the limit of a stand-in while it was checked",
+    23: "a VM that started during a move took its target for the old version",
+}
 
 
-@pytest.mark.parametrize("seed", [*SEEDS, *REGRESSIONS])
+@pytest.mark.parametrize("seed", sorted({*SEEDS, *REGRESSIONS}))
 async def test_invariants_hold_under_faults(seed, tmp_path):
     faults, rec, violations = await run.soak(seed, tmp_path)
     assert not violations, (faults, violations[:10])
