Keep what upstreams say of themselves when their registration lapses

Cause: that an upstream leaves, or wants a pause, was kept with its registration. A registration that lapsed, as many do while the store is away, and came back for the same start brought the upstream back into use: it got requests that it had said it can not take.

Change: both are kept by upstream and start (gateway/upstream_wishes.py), bounded; a later start begins without. Upstreams whose start is unknown keep them as long as they are registered.

--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -106,8 +106,7 @@
 
     def record_leaving(self, upstream: upstream_module.Upstream) -> None:
         """Records that an upstream leaves, as its response said."""
-        if not upstream.is_leaving:
-            upstream.is_leaving = True
+        if self.registry.wishes.record_leaving(upstream.instance):
             self._log.write(
                 "upstream.leaving",
                 upstream=upstream.instance.id,
@@ -118,7 +117,7 @@
         self, upstream: upstream_module.Upstream, pause_s: float
     ) -> None:
         """Records that an upstream wants no request of this VM for a while."""
-        upstream.record_pause(pause_s)
+        self.registry.wishes.record_pause(upstream.instance, pause_s)
         self._log.write(
             "upstream.pause",
             upstream=upstream.instance.id,
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -12,6 +12,7 @@
 from bramleyworks.gateway import instance as instance_module
 from bramleyworks.gateway import rate_limits
 from bramleyworks.gateway import upstream as upstream_module
+from bramleyworks.gateway import upstream_wishes
 from bramleyworks.policy import placement
 from bramleyworks.policy import rendezvous
 
@@ -33,6 +34,7 @@
 
     Attributes:
         rate_limits: Rate limits that upstreams name.
+        wishes: What upstreams said about further requests.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self._regions = regions
         self._clock = clock
         self.rate_limits = rate_limits.RateLimits(clock)
+        self.wishes = upstream_wishes.UpstreamWishes(clock)
         self._upstreams: dict[str, upstream_module.Upstream] = {}
         self._by_address: dict[tuple[str, int], upstream_module.Upstream] = {}
         # Upstreams of each service by region, and their number by version.
@@ -100,7 +103,7 @@
         other = self._by_address.get(address)
         if other is not None:
             self._remove(other)
-        added = upstream_module.Upstream(instance, self._clock)
+        added = upstream_module.Upstream(instance, self.wishes, self._clock)
         self._upstreams[instance.id] = added
         self._by_address[address] = added
         self._by_service.setdefault(instance.service, {}).setdefault(
@@ -123,6 +126,7 @@
         del self._by_address[instance.host, instance.port]
         self._by_service[instance.service][self.region_of(known)].remove(known)
         self._versions[instance.service].update({instance.version: -1})
+        self.wishes.forget_unknown_start(instance)
         known.close()
         logging.info("upstream %s removed", instance.id)
 
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -12,6 +12,7 @@
 from bramleyworks import errors
 from bramleyworks.gateway import instance as instance_module
 from bramleyworks.gateway import upstream_conn
+from bramleyworks.gateway import upstream_wishes
 from bramleyworks.platform import header_names
 from bramleyworks.policy import outlier_detection
 from bramleyworks.policy import slot_outcome
@@ -41,8 +42,6 @@
 # how long. Upstream caches have about this capacity.
 MAX_CACHED_OBJECTS = 64
 CACHED_OBJECT_TTL_S = 30.0
-# Longest pause that an upstream can ask for.
-MAX_PAUSE_S = 600.0
 # Backoff after an upstream shed a request.
 SHED_BACKOFF_S = 0.1
 
@@ -58,16 +57,19 @@
         health: Outlier detection state.
         last_response_s: Monotonic time in seconds at which it last responded.
         first_seen_s: Monotonic time in seconds at which it was first seen.
-        is_leaving: Whether a response said that it leaves.
     """
 
     def __init__(
-        self, instance: instance_module.Instance, clock: Callable[[], float]
+        self,
+        instance: instance_module.Instance,
+        wishes: upstream_wishes.UpstreamWishes,
+        clock: Callable[[], float],
     ):
         """Initializes the state with no observations.
 
         Args:
             instance: Its registration.
+            wishes: What upstreams said about further requests.
             clock: Monotonic time in seconds.
         """
         self._clock = clock
@@ -78,8 +80,7 @@
         self.last_response_s = -math.inf
         self.first_seen_s = clock()
         self.health = upstream_health.UpstreamHealth()
-        self.is_leaving = False
-        self._paused_until_s = -math.inf
+        self._wishes = wishes
         self._reported_others = 0.0
         self._reported_s = -math.inf
         # Load and time of the latest report to this VM, and to any VM.
@@ -118,10 +119,15 @@
         """Whether it shed a request a moment ago."""
         return self._clock() < self._backoff_until_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a response said that it leaves."""
+        return self._wishes.is_leaving(self.instance)
+
     @property
     def pause_s(self) -> float:
         """Seconds for which it still wants no request of this VM."""
-        return max(0.0, self._paused_until_s - self._clock())
+        return self._wishes.pause_s(self.instance)
 
     @property
     def slowness(self) -> float:
@@ -135,8 +141,6 @@
             self._slowness = 1.0
             self._reported_others = 0.0
             self._cached_objects.clear()
-            self.is_leaving = False
-            self._paused_until_s = -math.inf
             self.close()
         self.instance = instance
         self.record_cold_time(instance.cold_left_s)
@@ -210,11 +214,6 @@
         self.last_response_s = now_s
         self._backoff_until_s = now_s + SHED_BACKOFF_S
 
-    def record_pause(self, pause_s: float) -> None:
-        """Records that it wants no request of this VM for some seconds."""
-        until_s = self._clock() + min(pause_s, MAX_PAUSE_S)
-        self._paused_until_s = max(self._paused_until_s, until_s)
-
     def record_latency(self, work_s: float, expected_s: float) -> None:
         """Updates its slowness with the processing time of a request.
 
--- a/tests/gateway/test_cold_start.py
+++ b/tests/gateway/test_cold_start.py
@@ -4,6 +4,7 @@
 
 from bramleyworks.gateway import instance
 from bramleyworks.gateway import upstream
+from bramleyworks.gateway import upstream_wishes
 
 VMS = 28
 # ``cold_per_s``, ``cold_over`` and ``cold_slack`` of a large deployment.
@@ -16,7 +17,8 @@
     cold = instance.Instance(
         "u1", "desk", "127.0.0.1", 1, "one-a", "v1", 4, False, 9.0, 1
     )
-    return upstream.Upstream(cold, lambda: now[0])
+    wishes = upstream_wishes.UpstreamWishes(lambda: now[0])
+    return upstream.Upstream(cold, wishes, lambda: now[0])
 
 
 def simulate(seed):
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -18,6 +18,7 @@
 from bramleyworks.gateway import trace
 from bramleyworks.gateway import traffic
 from bramleyworks.gateway import upstream
+from bramleyworks.gateway import upstream_wishes
 from bramleyworks.policy import placement
 
 ROUTE = route.Route(
@@ -138,6 +139,7 @@
         instance.Instance(
             "n1", "desk", "127.0.0.1", port, "one-a", "v2", 4, False, 0.0, 1
         ),
+        upstream_wishes.UpstreamWishes(time.monotonic),
         time.monotonic,
     )
 
--- a/tests/gateway/test_upstream_wishes.py
+++ b/tests/gateway/test_upstream_wishes.py
@@ -66,6 +66,46 @@
         assert (await _run_counts(fleet))["u1"] > before["u1"]
 
 
+async def _lapse_and_return(fleet, name):
+    """Removes a registration and brings it back for the same start."""
+    await fleet.write_store(remove=[f"servers/{name}"])
+    await fleet.wait_for_upstreams(fleet.vms[0], 1)
+    await fleet.register(name)
+    await fleet.wait_for_upstreams(fleet.vms[0], 2)
+
+
+async def test_leaving_upstream_whose_registration_returns_gets_no_request(
+    tmp_path,
+):
+    """Guards against a lapse of the registration that ends the leaving."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        await fleet.upstream_fault("u1", "leaving")
+        await _send_at_once(fleet, vm, 8)
+        before = await _run_counts(fleet)
+        assert before["u1"]
+        await _lapse_and_return(fleet, "u1")
+        await _send_at_once(fleet, vm, 8)
+        assert (await _run_counts(fleet))["u1"] == before["u1"]
+
+
+async def test_paused_upstream_whose_registration_returns_is_left_alone(
+    tmp_path,
+):
+    """Guards against a lapse of the registration that ends the pause."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        await fleet.upstream_fault("u1", "pause=60")
+        await _send_at_once(fleet, vm, 8)
+        asked = (await fleet.upstream_status("u1"))["paused"]
+        assert asked
+        await _lapse_and_return(fleet, "u1")
+        await _send_at_once(fleet, vm, 8)
+        assert (await fleet.upstream_status("u1"))["paused"] == asked
+
+
 async def test_caller_is_told_when_all_upstreams_have_asked_for_a_pause(
     tmp_path,
 ):
