Judge new versions by likelihood, and bound what they get before it

A fault in a fifth of the requests passed for a good version; good responses before a fault under load hid it (10 of 73 responses bad in 2 s, then 79 of 256, judged together with 169 before); the share stayed at 0.44 although the version was not confirmed, and one that was held back caught up from 0.04 to 0.94 in 2 s. The class of fault is a threshold on a total, where strength and age of the evidence matter.

Change: the evidence is a likelihood ratio of two rates of bad responses, the alarm its cumulative sum. Open requests that take longer than usual keep a version from being confirmed. The first 40 requests come at a rising share, then a small one waits for the verdict; a suspect version loses its share, shares at most double in a fixed part of the time, and a move that can not be done any more is taken back at nine tenths of its time.

--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -24,7 +24,8 @@
         is_drained: Whether no request of this VM runs on the old version, and
             none will be sent to it.
         counts: Responses and bad responses by ``VERSION ROUTE``.
-        open_counts: Requests that upstreams work on, likewise.
+        open_counts: Requests that upstreams work on, and those of them that
+            take longer than usual, likewise.
         is_confirmed: Whether the new version was judged to be good.
     """
 
@@ -33,7 +34,7 @@
     is_aborted: bool
     is_drained: bool
     counts: dict[str, tuple[int, int]]
-    open_counts: dict[str, int] = {}
+    open_counts: dict[str, tuple[int, int]] = {}
     is_confirmed: bool = False
 
 
@@ -109,9 +110,10 @@
         for ended, cleared, trials, age_s in self.quarantine.values():
             numbers.extend((*ended, *cleared, trials, age_s))
         for report in self.moves.values():
-            numbers.extend((report.elapsed_s, *report.open_counts.values()))
-            for pair in report.counts.values():
-                numbers.extend(pair)
+            numbers.append(report.elapsed_s)
+            for pairs in (report.counts, report.open_counts):
+                for pair in pairs.values():
+                    numbers.extend(pair)
         for _, rate_per_s, hundredths in self.limits.values():
             numbers.extend((rate_per_s or 0.0, hundredths))
         if not all(number >= 0 and math.isfinite(number) for number in numbers):
--- a/src/bramleyworks/gateway/moves.py
+++ b/src/bramleyworks/gateway/moves.py
@@ -9,6 +9,7 @@
 from bramleyworks.gateway import move_order
 from bramleyworks.gateway import move_state
 from bramleyworks.gateway import version_evidence
+from bramleyworks.policy import canary_share
 from bramleyworks.policy import canary_verdict
 from bramleyworks.policy import rendezvous
 from bramleyworks.policy import weighted_round_robin
@@ -32,6 +33,7 @@
         is_confirmed: Whether it was judged to be good. The share follows the
             schedule from then on, until the version is judged to be faulty.
         evidence: This VM's evidence about both versions.
+        alarms: Alarms by route, and for all routes together.
         round_robins: Choice of versions for requests without object, by route.
         object_counts: Requests with an object, and those of them sent to the
             new version, by route.
@@ -41,10 +43,11 @@
         self.order = order
         self.started_s = now_s
         self.updated_s = now_s
-        self.share = canary_verdict.INITIAL_SHARE
+        self.share = canary_share.INITIAL_SHARE
         self.is_aborted = False
         self.is_confirmed = False
         self.evidence = version_evidence.VersionEvidence()
+        self.alarms: dict[str, canary_verdict.Alarm] = {}
         self.round_robins: dict[
             str, weighted_round_robin.WeightedRoundRobin
         ] = {}
@@ -204,6 +207,11 @@
                 "to_version": move.order.to_version,
                 "share": round(move.share, 3),
                 "is_confirmed": move.is_confirmed,
+                "alarms": {
+                    where: round(alarm.level, 1)
+                    for where, alarm in move.alarms.items()
+                    if alarm.level
+                },
                 "judged_bad_open_uncounted": move.evidence.summary(),
             }
             for service, move in self._moves.items()
@@ -271,7 +279,8 @@
                     for k, c in move.evidence.counts().items()
                 },
                 open_counts={
-                    k: c.open for k, c in move.evidence.counts().items()
+                    k: (c.open, c.overdue)
+                    for k, c in move.evidence.counts().items()
                 },
                 is_confirmed=move.is_confirmed,
             )
@@ -330,14 +339,25 @@
     ) -> None:
         """Judges the new version and updates its share."""
         pairs = _pairs(move.order.to_version, _totals(move, reports))
+        now_s = self._clock()
+        since_s = now_s - move.updated_s
+        move.updated_s = now_s
         for where, (new, old) in pairs.items():
-            if canary_verdict.is_worse(new, old):
+            alarm = canary_verdict.advance(
+                move.alarms.get(where, canary_verdict.Alarm()),
+                new,
+                old,
+                since_s,
+            )
+            move.alarms[where] = alarm
+            if canary_verdict.is_faulty(alarm):
                 self._abort(service, move, where, new)
                 return
-        new, old = pairs.get(ALL_ROUTES, (NO_EVIDENCE, NO_EVIDENCE))
         is_suspect = any(
-            canary_verdict.is_suspect(*pair) for pair in pairs.values()
+            canary_verdict.is_suspect(move.alarms[where], old)
+            for where, (_, old) in pairs.items()
         )
+        new, old = pairs.get(ALL_ROUTES, (NO_EVIDENCE, NO_EVIDENCE))
         if (
             not move.is_confirmed
             and not is_suspect
@@ -351,26 +371,24 @@
                 new.responses - new.bad,
                 new.responses,
             )
-        may_rise = not is_suspect and (
-            move.is_confirmed or canary_verdict.may_rise(new, visible_fraction)
+        if move.is_confirmed:
+            may_rise = _may_rise_confirmed(move, is_suspect)
+        else:
+            may_rise = (
+                not is_suspect
+                and canary_verdict.may_go_on(new, old)
+                and canary_share.is_in_trial(
+                    new.responses + new.open, visible_fraction
+                )
+            )
+        elapsed_s = now_s - move.started_s
+        _update_share(move, may_rise, elapsed_s, since_s)
+        is_late = canary_share.is_too_late(
+            elapsed_s, move.order.duration_s, visible_fraction
         )
-        self._update_share(move, may_rise)
-        is_late = self._clock() - move.started_s >= move.order.duration_s
         if is_late and not may_rise and move.share < 1.0:
             self._abort(service, move, "and too few good until the end", new)
 
-    def _update_share(self, move: _Move, may_rise: bool) -> None:
-        now_s = self._clock()
-        since_s = now_s - move.updated_s
-        move.updated_s = now_s
-        if not may_rise:
-            return
-        duration_s = move.order.duration_s
-        target = canary_verdict.share(now_s - move.started_s, duration_s)
-        move.share = canary_verdict.next_share(
-            move.share, target, since_s, duration_s
-        )
-
     def _abort(
         self,
         service: str,
@@ -420,6 +438,46 @@
         return state.to_version if state is not None else None
 
 
+def _may_rise_confirmed(move: _Move, is_suspect: bool) -> bool:
+    """Returns whether the share of a confirmed version may rise.
+
+    At a large share only responses count, since hardly any requests of the old
+    version are open that those of the new one could be compared with.
+    """
+    if _is_alarmed(move):
+        return False
+    return not is_suspect or move.share >= canary_share.MAX_RETREAT_SHARE
+
+
+def _is_alarmed(move: _Move) -> bool:
+    return any(map(canary_verdict.is_alarmed, move.alarms.values()))
+
+
+def _update_share(
+    move: _Move, may_rise: bool, elapsed_s: float, since_s: float
+) -> None:
+    """Updates the share.
+
+    Args:
+        move: The move.
+        may_rise: Whether the evidence lets it rise.
+        elapsed_s: Seconds since the start of the move.
+        since_s: Seconds since the last update.
+    """
+    duration_s = move.order.duration_s
+    if may_rise:
+        schedule = (
+            canary_share.scheduled if move.is_confirmed else canary_share.trial
+        )
+        move.share = canary_share.approach(
+            move.share, schedule(elapsed_s, duration_s), since_s, duration_s
+        )
+    elif not move.is_confirmed:
+        move.share = min(move.share, canary_share.HOLD_SHARE)
+    elif _is_alarmed(move):
+        move.share = canary_share.retreat(move.share, since_s)
+
+
 def _pairs(
     to_version: str, totals: dict[str, canary_verdict.Counts]
 ) -> dict[str, tuple[canary_verdict.Counts, canary_verdict.Counts]]:
@@ -453,7 +511,7 @@
     for report in reports:
         for key, (responses, bad) in report.counts.items():
             counted = canary_verdict.Counts(
-                responses, bad, report.open_counts.get(key, 0)
+                responses, bad, *report.open_counts.get(key, (0, 0))
             )
             known = totals.get(key, canary_verdict.Counts())
             totals[key] = canary_verdict.add(known, counted)
--- a/src/bramleyworks/gateway/region_summary.py
+++ b/src/bramleyworks/gateway/region_summary.py
@@ -1,7 +1,5 @@
 """Aggregates the heartbeats of a region for other regions."""
 
-import collections
-
 import msgspec
 
 from bramleyworks.gateway import heartbeat as heartbeat_module
@@ -92,12 +90,10 @@
             and r.order_id == newest.order_id
         ]
         counts: dict[str, tuple[int, int]] = {}
-        open_counts: collections.Counter[str] = collections.Counter()
+        open_counts: dict[str, tuple[int, int]] = {}
         for report in reports:
-            open_counts.update(report.open_counts)
-            for key, (responses, bad) in report.counts.items():
-                old = counts.get(key, (0, 0))
-                counts[key] = (old[0] + responses, old[1] + bad)
+            _add_pairs(counts, report.counts)
+            _add_pairs(open_counts, report.open_counts)
         found[service] = heartbeat_module.MoveReport(
             order_id=newest.order_id,
             elapsed_s=max(r.elapsed_s for r in reports),
@@ -105,7 +101,16 @@
             is_drained=len(reports) == len(heartbeats)
             and all(r.is_drained for r in reports),
             counts=counts,
-            open_counts=dict(open_counts),
+            open_counts=open_counts,
             is_confirmed=any(r.is_confirmed for r in reports),
         )
     return found
+
+
+def _add_pairs(
+    totals: dict[str, tuple[int, int]], pairs: dict[str, tuple[int, int]]
+) -> None:
+    """Adds pairs of numbers to the totals of the same keys."""
+    for key, (first, second) in pairs.items():
+        known = totals.get(key, (0, 0))
+        totals[key] = known[0] + first, known[1] + second
--- a/src/bramleyworks/gateway/version_evidence.py
+++ b/src/bramleyworks/gateway/version_evidence.py
@@ -17,15 +17,17 @@
         responses: Attempts that were judged.
         bad: Those of them that were bad.
         open: Attempts that are not judged yet.
+        overdue: Those of them that take longer than usual.
         uncounted: Attempts that ended without a judgement.
     """
 
-    __slots__ = ("responses", "bad", "open", "uncounted")
+    __slots__ = ("responses", "bad", "open", "overdue", "uncounted")
 
     def __init__(self):
         self.responses = 0
         self.bad = 0
         self.open = 0
+        self.overdue = 0
         self.uncounted = 0
 
 
@@ -36,12 +38,13 @@
     single upstream or its network.
     """
 
-    __slots__ = ("_tally", "_slow_after_s", "_is_open")
+    __slots__ = ("_tally", "_slow_after_s", "_is_open", "_is_overdue")
 
     def __init__(self, tally: _Tally, slow_after_s: float):
         self._tally = tally
         self._slow_after_s = slow_after_s
         self._is_open = True
+        self._is_overdue = False
         tally.open += 1
 
     def record_response(self, status: int, elapsed_s: float) -> None:
@@ -72,7 +75,11 @@
         if math.isinf(self._slow_after_s):
             return
         sent_s = clock()
-        await asyncio.sleep(self._slow_after_s)
+        overdue_after_s = canary_verdict.OVERDUE_FRACTION * self._slow_after_s
+        await asyncio.sleep(overdue_after_s)
+        if upstream.last_response_s > sent_s:
+            self.record_overdue()
+        await asyncio.sleep(self._slow_after_s - overdue_after_s)
         if upstream.is_leaving or upstream.pause_s:
             # It wants no further request, not even a health check.
             return
@@ -81,6 +88,12 @@
         ):
             self.record_lateness()
 
+    def record_overdue(self) -> None:
+        """Records that it takes longer than usual at an upstream that lives."""
+        if self._is_open and not self._is_overdue:
+            self._is_overdue = True
+            self._tally.overdue += 1
+
     def record_lateness(self) -> None:
         """Judges the attempt while its response is late."""
         self._judge(True)
@@ -102,6 +115,7 @@
     def _end(self) -> None:
         self._is_open = False
         self._tally.open -= 1
+        self._tally.overdue -= int(self._is_overdue)
 
 
 class VersionEvidence:
@@ -126,7 +140,7 @@
     def counts(self) -> dict[str, canary_verdict.Counts]:
         """Returns what was counted by ``VERSION ROUTE``."""
         return {
-            key: canary_verdict.Counts(t.responses, t.bad, t.open)
+            key: canary_verdict.Counts(t.responses, t.bad, t.open, t.overdue)
             for key, t in self._tallies.items()
         }
 
--- a/src/bramleyworks/policy/canary_verdict.py
+++ b/src/bramleyworks/policy/canary_verdict.py
@@ -1,33 +1,40 @@
-"""Traffic share and verdict for a new version in moves that last seconds.
+"""Verdict on a new version in moves that last seconds.
 
 ``canary_stats`` compares versions over minutes and many requests. Here the
 whole move lasts a few seconds and the new version's upstreams start with cold
-caches, so only clear differences count.
-
-The schedule alone does not raise the share: a slow version shows its fault
-later than a failing one, and its good responses arrive before its bad ones.
+caches, so only clear differences count. Two rates of bad responses are compared
+by their likelihood: one that a good version may have, and one of a faulty one.
 """
 
 import dataclasses
 import math
 
-# Share of requests at the start. With the excess that popular objects may add,
-# it stays below the tenth that a faulty version may get.
-INITIAL_SHARE = 0.075
-# Fractions of the time to the deadline at which the share starts to ramp up and
-# at which it reaches all requests. The ramp is quadratic: evidence is late, so
-# the share has to be small while there is little of it.
-RAMP_START_FRACTION = 0.4
-RAMP_END_FRACTION = 0.75
+# Rate of bad responses that a good version may have beyond the old version's
+# rate, because its caches are cold, and the highest one in all.
+TOLERATED_RATE = 0.03
+MAX_TOLERATED_RATE = 0.8
+# Time in which the weight of the old version's responses halves in its recent
+# rate, and the number of responses of its overall rate that it is mixed with.
+RECENT_HALF_LIFE_S = 2.0
+PRIOR_RESPONSES = 10.0
+# Rate of overdue requests that is assumed without any of the old version.
+PRIOR_OVERDUE_RATE = 0.1
+# A faulty version has a rate that is higher by this.
+FAULTY_RATE_MARGIN = 0.1
+# Scores (log-likelihood ratios) at which a version is faulty, and suspect. One
+# that has the tolerated rate reaches the first by chance with a probability of
+# exp(-4.5).
+FAULTY_SCORE = 4.5
+SUSPECT_SCORE = 2.5
+# Scores up to which a version is confirmed, and up to which one that is not
+# confirmed may go on with its trial.
+GOOD_SCORE = -2.5
+TRIAL_SCORE = 1.25
 # With fewer bad responses chance decides. Connections that fail are not among
 # them, so the crash of an upstream causes none.
-MIN_BAD_RESPONSES = 6
-# Bad responses at the same rate that keep the share from rising.
-MIN_SUSPECT_RESPONSES = 3
-# The new version is worse if its rate of bad responses exceeds OLD_RATE_FACTOR
-# times that of the old version by this margin.
-BAD_RATE_MARGIN = 0.1
-OLD_RATE_FACTOR = 2.0
+MIN_BAD_RESPONSES = 4
+# Good responses that confirm a version at least.
+MIN_GOOD_RESPONSES = 12
 # Latency, as a multiple of the expected one, above which a response is bad. A
 # cold upstream takes up to twice as long as usual.
 SLOW_FACTOR = 3.0
@@ -35,17 +42,8 @@
 MIN_SLOW_FACTOR = 2.0
 # Fraction of the latency objective within which no response is bad.
 MIN_SLOW_OBJECTIVE_FRACTION = 0.5
-# Good responses of the new version that confirm it, and their least fraction of
-# the requests that it got, relative to the old version's fraction. More than
-# half, since a faulty version may serve half of its requests well.
-MIN_GOOD_RESPONSES = 12
-MIN_GOOD_FRACTION = 0.75
-# Requests that a new version may get before it is confirmed, apart from its
-# initial share. A service with few requests has to be moved with fewer.
-MAX_UNCONFIRMED_REQUESTS = 25
-# Least time in which the share rises from none to all requests, as a fraction
-# of the time to the deadline.
-MIN_RAMP_FRACTION = 0.15
+# Fraction of the latency of a bad response after which a request is overdue.
+OVERDUE_FRACTION = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,42 +54,35 @@
         responses: Requests that the version completed or failed.
         bad: Those that failed or took several times as long as usual.
         open: Requests that it is working on.
+        overdue: Those of them that take longer than usual.
     """
 
     responses: int = 0
     bad: int = 0
     open: int = 0
+    overdue: int = 0
 
 
-def share(elapsed_s: float, duration_s: float) -> float:
-    """Returns the share of the new version if nothing holds it back.
-
-    Args:
-        elapsed_s: Seconds since the start of the move.
-        duration_s: Seconds from the start of the move to its deadline.
-    """
-    progress = elapsed_s / max(duration_s, 1e-3)
-    if progress >= RAMP_END_FRACTION:
-        return 1.0
-    ramped = max(0.0, progress - RAMP_START_FRACTION) / (
-        RAMP_END_FRACTION - RAMP_START_FRACTION
-    )
-    return INITIAL_SHARE + (1.0 - INITIAL_SHARE) * ramped**2
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alarm:
+    """Cumulative sum of the scores of new evidence, never below zero.
 
+    A fault that appears late, or under load, is not hidden by the good
+    responses before it.
 
-def next_share(
-    current: float, target: float, elapsed_s: float, duration_s: float
-) -> float:
-    """Returns the share after an update; it rises no faster than allowed.
-
-    Args:
-        current: Share before the update.
-        target: Share to reach.
-        elapsed_s: Seconds since the last update.
-        duration_s: Seconds from the start of the move to its deadline.
+    Attributes:
+        level: The sum.
+        seen: The evidence about the new version that is part of it.
+        old: The evidence about the old version at that time.
+        recent_responses: Responses of the old version, decayed by age.
+        recent_bad: Bad ones among them, decayed likewise.
     """
-    step = elapsed_s / (MIN_RAMP_FRACTION * max(duration_s, 1e-3))
-    return min(target, current + step)
+
+    level: float = 0.0
+    seen: Counts = Counts()
+    old: Counts = Counts()
+    recent_responses: float = 0.0
+    recent_bad: float = 0.0
 
 
 def slow_after_s(
@@ -121,46 +112,99 @@
         one.responses + other.responses,
         one.bad + other.bad,
         one.open + other.open,
+        one.overdue + other.overdue,
+    )
+
+
+def advance(alarm: Alarm, new: Counts, old: Counts, since_s: float) -> Alarm:
+    """Returns the alarm with all evidence.
+
+    Args:
+        alarm: The alarm before.
+        new: All evidence about the new version.
+        old: All evidence about the old version.
+        since_s: Seconds since the alarm before.
+    """
+    added_old = _added(alarm.old, old)
+    decay = 0.5 ** (since_s / RECENT_HALF_LIFE_S)
+    recent_responses = alarm.recent_responses * decay + added_old.responses
+    recent_bad = alarm.recent_bad * decay + added_old.bad
+    rate = _bad_rate(old)
+    # Trouble of the moment affects both versions.
+    recent_rate = (recent_bad + PRIOR_RESPONSES * rate) / (
+        recent_responses + PRIOR_RESPONSES
     )
+    added = _added(alarm.seen, new)
+    level = alarm.level + _score(added, max(rate, recent_rate))
+    return Alarm(max(0.0, level), new, old, recent_responses, recent_bad)
 
 
-def is_worse(new: Counts, old: Counts) -> bool:
+def is_faulty(alarm: Alarm) -> bool:
     """Returns whether the new version is clearly worse than the old one."""
-    return new.bad >= MIN_BAD_RESPONSES and _has_higher_rate(new, old)
+    return alarm.level >= FAULTY_SCORE and alarm.seen.bad >= MIN_BAD_RESPONSES
 
 
-def is_suspect(new: Counts, old: Counts) -> bool:
-    """Returns whether the new version seems worse than the old one."""
-    return new.bad >= MIN_SUSPECT_RESPONSES and _has_higher_rate(new, old)
+def is_alarmed(alarm: Alarm) -> bool:
+    """Returns whether the new version seems worse by its responses."""
+    return alarm.level >= SUSPECT_SCORE
 
 
-def _has_higher_rate(new: Counts, old: Counts) -> bool:
-    old_rate = old.bad / old.responses if old.responses else 0.0
-    return new.bad >= new.responses * (
-        BAD_RATE_MARGIN + OLD_RATE_FACTOR * old_rate
-    )
+def is_suspect(alarm: Alarm, old: Counts) -> bool:
+    """Returns whether it seems worse by responses and overdue requests."""
+    return alarm.level + _open_score(alarm.seen, old) >= SUSPECT_SCORE
+
+
+def may_go_on(new: Counts, old: Counts) -> bool:
+    """Returns whether the trial of a version may go on."""
+    score = _score(new, _bad_rate(old)) + _open_score(new, old)
+    return score <= TRIAL_SCORE
 
 
 def is_confirmed(new: Counts, old: Counts) -> bool:
     """Returns whether enough requests were served well by the new version.
 
-    Requests that it is working on count as not served, since those that take
-    long are still open when the others have been served.
+    Overdue requests count as bad, since those that take long are still open
+    when the others have been served.
     """
-    good = new.responses - new.bad
-    old_fraction = 1.0 - old.bad / old.responses if old.responses else 1.0
-    return good >= MIN_GOOD_RESPONSES and good >= (
-        MIN_GOOD_FRACTION * old_fraction * (new.responses + new.open)
+    return (
+        new.responses - new.bad >= MIN_GOOD_RESPONSES
+        and _score(new, _bad_rate(old)) + _open_score(new, old) <= GOOD_SCORE
+    )
+
+
+def _added(before: Counts, now: Counts) -> Counts:
+    """Returns the responses in between, none where a VM has ended."""
+    return Counts(
+        max(0, now.responses - before.responses), max(0, now.bad - before.bad)
     )
 
 
-def may_rise(new: Counts, visible_fraction: float) -> bool:
-    """Returns whether the share of an unconfirmed version may rise.
+def _bad_rate(counts: Counts) -> float:
+    """Returns the rate of bad responses."""
+    return counts.bad / counts.responses if counts.responses else 0.0
+
+
+def _score(new: Counts, old_rate: float) -> float:
+    """Returns the log-likelihood ratio of a faulty and a good version.
 
     Args:
-        new: What is known of the new version.
-        visible_fraction: Fraction of the VMs whose reports it comes from; those
-            that can not be reached may send requests to it as well.
+        new: Evidence about the new version.
+        old_rate: Rate of bad responses of the old version.
+    """
+    good_rate = min(MAX_TOLERATED_RATE, TOLERATED_RATE + old_rate)
+    faulty_rate = good_rate + FAULTY_RATE_MARGIN
+    good = max(0, new.responses - new.bad)
+    return new.bad * math.log(faulty_rate / good_rate) + good * math.log(
+        (1.0 - faulty_rate) / (1.0 - good_rate)
+    )
+
+
+def _open_score(new: Counts, old: Counts) -> float:
+    """Returns the score of open requests as if overdue ones were bad.
+
+    Never below 0: requests that are open are no evidence for a version.
     """
-    allowed = MAX_UNCONFIRMED_REQUESTS * visible_fraction
-    return new.responses + new.open < allowed
+    old_rate = (old.overdue + PRIOR_OVERDUE_RATE * PRIOR_RESPONSES) / (
+        old.open + PRIOR_RESPONSES
+    )
+    return max(0.0, _score(Counts(new.open, new.overdue), old_rate))
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -87,7 +87,7 @@
         slow.close()
     (report,) = cluster.report_moves().values()
     assert report.counts == {"v2 stock": (3, 3)}
-    assert report.open_counts == {"v2 stock": 0}
+    assert report.open_counts == {"v2 stock": (0, 0)}
 
 
 async def test_frozen_upstream_is_no_evidence_against_its_version(
@@ -114,7 +114,7 @@
                 await _attempt(attempt_runner, slow, 0.6)
     (report,) = cluster.report_moves().values()
     assert report.counts == {"v2 stock": (0, 0)}
-    assert report.open_counts == {"v2 stock": 0}
+    assert report.open_counts == {"v2 stock": (0, 0)}
 
 
 @contextlib.asynccontextmanager
--- a/tests/gateway/test_move_model.py
+++ b/tests/gateway/test_move_model.py
@@ -1,5 +1,6 @@
 """Moves of simulated fleets on simulated time, checked by what callers send."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -18,6 +19,8 @@
 CANARY_SLACK = 50
 ROLLBACK_S = 5.0
 OBJECTS = 400
+# As few as some services have; popular ones make shares irregular.
+FEW_OBJECTS = 24
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +36,7 @@
 # The two deployments, a service with few requests and a large one.
 VENDOR = (Route("pull", 35.5, 0.1, 1.0), Route("proof", 55.8, 0.45, 5.0))
 ARCHIVE = (Route("draw", 16.7, 0.2, 2.0), Route("digest", 33.3, 0.95, 10.0))
+DESK = (Route("consult", 150.0, 0.3, 2.5), Route("order", 70.0, 0.5, 3.0))
 QUIET = (Route("rare", 1.5, 0.3, 2.0),)
 LARGE = (Route("view", 560.0, 0.3, 3.7),)
 
@@ -43,12 +47,14 @@
     def __init__(self, size, routes, seed, duration_s=16.0):
         self.now_s = 0.0
         self.rng = random.Random(seed)
+        self.objects = OBJECTS
         self.routes = routes
         self.duration_s = duration_s
         self.bad_share = lambda version, route, since_s: 0.0
         self.slow_factor = 1.0
         self.lost_share = lambda version, now_s: 0.0
         self.group_of = lambda name, now_s: 0
+        self.recently_sent = collections.deque(maxlen=100)
         self.sent = {"v1": 0, "v2": 0, "decided": 0}
         self.bad_sent = []
         self.finished = None
@@ -108,11 +114,12 @@
         )
         name = self.rng.choice(list(self.vms))
         vm = self.vms[name]
-        key = f"o{self.rng.randrange(OBJECTS)}"
+        key = f"o{self.rng.randrange(self.objects)}"
         version = vm.choose_version("desk", route.name, key, "v1")
         self.sent[version or "decided"] += 1
         if version is None:
             return
+        self.recently_sent.append(version)
         if version == "v2":
             self._last_sent_s = self.now_s
         # The new version has to fetch its objects at first.
@@ -139,6 +146,9 @@
         status = 500 if is_bad and self.slow_factor == 1.0 else 200
         if work_s < route.deadline_s:
             self._at(self.now_s + work_s, seen.record_response, status, work_s)
+        overdue_s = canary_verdict.OVERDUE_FRACTION * limit_s
+        if overdue_s < work_s:
+            self._at(self.now_s + overdue_s, seen.record_overdue)
         if limit_s < work_s:
             self._at(self.now_s + limit_s, seen.record_lateness)
         self._at(
@@ -183,6 +193,46 @@
     assert fleet.finished[0] is move_state.MovePhase.REVERTED
 
 
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("old_share", [0.01, 0.05])
+@pytest.mark.parametrize(
+    ("size", "routes"), [(9, VENDOR), (11, ARCHIVE), (11, DESK)]
+)
+def test_version_that_is_slow_in_a_fifth_of_its_requests_is_taken_back(
+    size, routes, old_share, seed
+):
+    """Guards against weak faults that pass for good versions."""
+    fleet = Fleet(size, routes, seed)
+    fleet.objects = FEW_OBJECTS
+    fleet.slow_factor = 8.0
+    fleet.bad_share = lambda version, *_: 0.2 if version == "v2" else old_share
+    fleet.run(16.0)
+    fleet.check_exposure()
+    assert fleet.finished[0] is move_state.MovePhase.REVERTED
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize(("size", "routes"), [(9, VENDOR), (11, DESK)])
+def test_fault_that_grows_with_the_load_is_found_during_the_ramp(
+    size, routes, seed
+):
+    """Guards against good responses at a small share that hide the fault."""
+    fleet = Fleet(size, routes, seed)
+    fleet.slow_factor = 8.0
+
+    def bad_share(version, *_):
+        if version == "v1":
+            return 0.01
+        sent = fleet.recently_sent
+        share = sent.count("v2") / len(sent)
+        return 0.5 * share if share > 0.15 else 0.01
+
+    fleet.bad_share = bad_share
+    fleet.run(16.0)
+    fleet.check_exposure()
+    assert fleet.finished[0] is move_state.MovePhase.REVERTED
+
+
 def test_slow_version_is_taken_back_in_a_large_fleet():
     fleet = _bad_fleet(60, LARGE, 1, 8.0, 0.5).run(16.0)
     fleet.check_exposure()
