Decode numbers in headers of upstreams in one place

Cause: two decoders of the same form shared their handling of errors line by line.

Change: one function decodes the rate limit and the pause; no behaviour changes.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -369,19 +369,11 @@
         self._record_rate_limit(upstream_res, upstream)
         if upstream_res.get(header_names.LEAVING) == LEAVING_VALUE:
             self._cluster.record_leaving(upstream)
-        pause = upstream_res.get(header_names.RETRY_AFTER)
-        if upstream_res.status == OVERLOADED_STATUS and pause is not None:
-            self._record_pause(pause, upstream)
-
-    def _record_pause(
-        self, raw: bytes, upstream: upstream_module.Upstream
-    ) -> None:
-        """Records for how long an upstream wants no requests."""
-        decoded = wire_decimal.decode(raw, "pause.decode", upstream.instance.id)
-        if decoded.is_err():
-            logging.warning("%s", decoded.unwrap_err())
-            return
-        self._cluster.record_pause(upstream, decoded.unwrap())
+        raw_pause = upstream_res.get(header_names.RETRY_AFTER)
+        if upstream_res.status == OVERLOADED_STATUS and raw_pause is not None:
+            pause_s = _decode(raw_pause, "pause.decode", upstream)
+            if pause_s is not None:
+                self._cluster.record_pause(upstream, pause_s)
 
     def _record_rate_limit(
         self,
@@ -395,13 +387,9 @@
             if upstream_res.get(header_names.SIGNATURE) is not None:
                 self._cluster.record_rate_limit(upstream, None)
             return
-        decoded = wire_decimal.decode(
-            raw, "rate_limit.decode", upstream.instance.id
-        )
-        if decoded.is_err():
-            logging.warning("%s", decoded.unwrap_err())
-            return
-        self._cluster.record_rate_limit(upstream, decoded.unwrap())
+        rate_per_s = _decode(raw, "rate_limit.decode", upstream)
+        if rate_per_s is not None:
+            self._cluster.record_rate_limit(upstream, rate_per_s)
 
     def _record_latency(
         self,
@@ -451,6 +439,17 @@
             )
 
 
+def _decode(
+    raw: bytes, step: str, upstream: upstream_module.Upstream
+) -> float | None:
+    """Decodes a number in a header; a malformed one is logged and ignored."""
+    decoded = wire_decimal.decode(raw, step, upstream.instance.id)
+    if decoded.is_err():
+        logging.warning("%s", decoded.unwrap_err())
+        return None
+    return decoded.unwrap()
+
+
 def _abort_unless_complete(
     upstream_res: upstream_response.UpstreamResponse,
     conn: upstream_conn.UpstreamConn,
