--- a/src/bramleyworks/cli/report.py
+++ b/src/bramleyworks/cli/report.py
@@ -95,6 +95,13 @@
     if not req["tried"]:
         yield "  sent to no upstream"
     for number, attempt in enumerate(req["tried"], 1):
+        if "vm" in attempt:
+            yield (
+                f"  attempt {number}: passed on to VM {attempt['vm']},"
+                f" {attempt['outcome']} ({attempt['reason']}) after"
+                f" {attempt['ms']} ms"
+            )
+            continue
         held = "held" if attempt["held"] else "not held"
         yield (
             f"  attempt {number}: {attempt['upstream']} {attempt['outcome']}"
--- a/src/bramleyworks/gateway/admission.py
+++ b/src/bramleyworks/gateway/admission.py
@@ -7,6 +7,7 @@
 from bramleyworks.gateway import cluster_state
 from bramleyworks.gateway import gateway_config as gateway_config_module
 from bramleyworks.gateway import organisation as organisation_module
+from bramleyworks.gateway import proxied_head
 from bramleyworks.gateway import quotas as quotas_module
 from bramleyworks.gateway import refused
 from bramleyworks.gateway import request as request_module
@@ -45,16 +46,21 @@
 
     def refund(self, ctx: request_context.RequestContext) -> None:
         """Refunds the quota of an admitted request that did not run."""
-        if ctx.organisation is not None:
+        if ctx.organisation is not None and not ctx.is_proxied:
             self._quotas.refund(ctx.organisation.name)
 
     def admit(
-        self, req: request_module.Request, trace: trace_module.Trace
+        self,
+        req: request_module.Request,
+        proxied: proxied_head.ProxiedFields | None,
+        trace: trace_module.Trace,
     ) -> request_context.RequestContext:
         """Returns the context of a request that may run.
 
         Args:
             req: The caller's request.
+            proxied: What the VM that passed it on says of it, None if it came
+                from a caller.
             trace: Log entry to fill in.
 
         Raises:
@@ -82,7 +88,7 @@
         )
         if deadline_s <= self._clock():
             raise refused.RefusedError(503, "no time is left")
-        if organisation is not None:
+        if organisation is not None and proxied is None:
             wait_s = self._quotas.admit(organisation)
             if wait_s > 0:
                 raise refused.RefusedError(
@@ -107,6 +113,12 @@
             objective_s=req.received_s + route.objective_s,
             regions=regions,
             priority=priority,
+            attempts=(
+                min(route.attempts, proxied.attempts)
+                if proxied
+                else route.attempts
+            ),
+            is_proxied=proxied is not None,
         )
         trace.service = ctx.service
         trace.object_key = ctx.object_key
--- a/src/bramleyworks/gateway/attempt_outcome.py
+++ b/src/bramleyworks/gateway/attempt_outcome.py
@@ -23,9 +23,15 @@
         error_response: Status, headers and body of a complete error response
             from the upstream, if there was one.
         is_connection_lost: Whether the connection broke during the request.
+        is_link_failure: Whether the link may be at fault instead of the
+            upstream.
+        retry_after_s: Time after which another VM that refused the request
+            wants it again in seconds, None if it named none.
     """
 
     result: AttemptResult
     reason: str = ""
     error_response: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
     is_connection_lost: bool = False
+    is_link_failure: bool = False
+    retry_after_s: float | None = None
--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -10,6 +10,8 @@
 from bramleyworks import errors
 from bramleyworks.gateway import attempt_outcome
 from bramleyworks.gateway import cluster_state
+from bramleyworks.gateway import forwarding
+from bramleyworks.gateway import isolation as isolation_module
 from bramleyworks.gateway import request as request_module
 from bramleyworks.gateway import request_context
 from bramleyworks.gateway import response as response_module
@@ -25,9 +27,6 @@
 from bramleyworks.policy import canary_verdict
 from bramleyworks.policy import placement
 
-# Responses up to this size are buffered whole before any byte is sent to the
-# caller, so that a truncated response to an idempotent request can be retried.
-MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 # Multiple of the expected latency after which an upstream that has sent no
 # response to any request since is checked by opening another connection.
 SILENCE_TIMEOUT_FACTOR = 5.0
@@ -40,6 +39,16 @@
 # Status with which a server may ask for a pause.
 OVERLOADED_STATUS = 503
 LEAVING_VALUE = b"1"
+# Steps of errors that may be due to the link instead of the upstream.
+SILENCE_STEP = "upstream.silence"
+LINK_FAILURE_STEPS = frozenset(
+    (
+        upstream_module.CONNECT_STEP,
+        upstream_conn.CONNECTION_LOST_STEP,
+        SILENCE_STEP,
+        isolation_module.ISOLATED_STEP,
+    )
+)
 
 
 class Attempts:
@@ -49,6 +58,7 @@
         self,
         cluster: cluster_state.ClusterState,
         traffic: traffic_module.Traffic,
+        isolation: isolation_module.Isolation,
         should_close: Callable[[request_module.Request], bool],
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -57,12 +67,14 @@
         Args:
             cluster: Configuration and upstreams as known to this VM.
             traffic: Estimates of work per request and of demand.
+            isolation: Detects that this VM reaches no upstream.
             should_close: Returns whether the caller's connection closes after
                 the response to a request.
             clock: Monotonic time in seconds.
         """
         self._cluster = cluster
         self._traffic = traffic
+        self._isolation = isolation
         self._should_close = should_close
         self._clock = clock
 
@@ -113,20 +125,26 @@
                 if exc.not_run
                 else attempt_outcome.AttemptResult.FAILED
             )
+            is_link_failure = exc.step in LINK_FAILURE_STEPS
             outcome = attempt_outcome.Outcome(
                 result,
                 f"{exc.step}: {exc.reason}",
                 is_connection_lost=exc.step
                 == upstream_conn.CONNECTION_LOST_STEP,
+                is_link_failure=is_link_failure,
             )
-            upstream.record_outcome(True, is_half_open)
+            if is_link_failure:
+                self._isolation.record_failure(upstream.instance.id, start_s)
+            if not self._isolation.is_isolated:
+                upstream.record_outcome(True, is_half_open)
         except asyncio.CancelledError:
             now_s = self._clock()
+            # A host or a proxy accepts connections for a server that is silent.
             if (
-                upstream.last_contact_s
+                upstream.last_response_s
                 < start_s
                 < now_s - MIN_SILENCE_TIMEOUT_S
-            ):
+            ) and not self._isolation.is_isolated:
                 upstream.record_outcome(True, is_half_open)
             raise
         else:
@@ -164,9 +182,9 @@
             body is None,
         )
         with contextlib.ExitStack() as stack:
-            stack.callback(_abort_unless_complete, upstream_res, conn)
+            stack.callback(forwarding.abort_unless_complete, upstream_res, conn)
             if body is None:
-                sender = asyncio.create_task(_send_body(req, conn))
+                sender = asyncio.create_task(forwarding.send_body(req, conn))
                 stack.callback(sender.cancel)
             observation = self._observe(ctx, upstream, choice)
             if observation is not None:
@@ -179,7 +197,16 @@
                     )
                 )
                 stack.callback(watch.cancel)
-            await self._wait_head(upstream_res, ctx, upstream, choice, sent_s)
+            with self._isolation.observe(
+                upstream,
+                conn,
+                choice.expected_s,
+                ctx.route.idempotent and body is not None,
+            ):
+                await self._wait_head(
+                    upstream_res, ctx, upstream, choice, sent_s
+                )
+            self._isolation.record_contact(upstream.instance.service)
             elapsed_s = self._clock() - sent_s
             self._record_reported_state(upstream_res, upstream)
             outcome = self._check_response(upstream_res, upstream)
@@ -190,8 +217,8 @@
             self._record_latency(
                 ctx, upstream, choice, elapsed_s, upstream_res.status
             )
-            return await self._forward_response(
-                req, res, ctx, upstream_res, trace
+            return await forwarding.forward_response(
+                req, res, ctx, upstream_res, self._should_close, trace
             )
 
     def _observe(
@@ -247,7 +274,7 @@
         timeout_s = max(
             MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_FACTOR * choice.expected_s
         )
-        if not ctx.route.idempotent or ctx.route.attempts < 2:
+        if not ctx.route.idempotent or ctx.attempts < 2:
             await upstream_res.wait_head()
             return
         while True:
@@ -262,7 +289,7 @@
                 ):
                     continue
                 raise errors.UpstreamError(
-                    "upstream.silence",
+                    SILENCE_STEP,
                     upstream.instance.id,
                     f"no answer for {self._clock() - sent_s:.3f} s",
                     not_run=False,
@@ -290,64 +317,6 @@
             )
         return None
 
-    async def _forward_response(
-        self,
-        req: request_module.Request,
-        res: response_module.Response,
-        ctx: request_context.RequestContext,
-        upstream_res: upstream_response.UpstreamResponse,
-        trace: trace_module.Trace,
-    ) -> attempt_outcome.Outcome:
-        """Forwards a response to the caller.
-
-        Short responses are buffered whole first, so that a truncated one or an
-        upstream error can still be retried at another upstream.
-        """
-        headers = [
-            h
-            for h in upstream_res.headers
-            if h[0] not in upstream_head.HOP_BY_HOP_HEADERS
-        ]
-        buffered = b""
-        is_bufferable = (
-            upstream_res.length is None
-            or upstream_res.length <= MAX_BUFFERED_RESPONSE_BYTES
-        )
-        while is_bufferable and len(buffered) <= MAX_BUFFERED_RESPONSE_BYTES:
-            chunk = await upstream_res.read()
-            if chunk:
-                buffered += chunk
-                continue
-            if upstream_res.status >= 500 and ctx.route.idempotent:
-                return attempt_outcome.Outcome(
-                    attempt_outcome.AttemptResult.UPSTREAM_ERROR,
-                    f"status {upstream_res.status}",
-                    (upstream_res.status, headers, buffered),
-                )
-            trace.status = upstream_res.status
-            req.discard()
-            res.write_complete(
-                upstream_res.status, headers, buffered, self._should_close(req)
-            )
-            return attempt_outcome.Outcome(
-                attempt_outcome.AttemptResult.ANSWERED, str(upstream_res.status)
-            )
-        trace.status = upstream_res.status
-        res.write_head(
-            upstream_res.status,
-            headers,
-            upstream_res.length,
-            self._should_close(req),
-        )
-        await res.write_body(buffered)
-        while chunk := await upstream_res.read():
-            await res.write_body(chunk)
-        req.discard()
-        res.finish()
-        return attempt_outcome.Outcome(
-            attempt_outcome.AttemptResult.ANSWERED, str(upstream_res.status)
-        )
-
     def _record_reported_state(
         self,
         upstream_res: upstream_response.UpstreamResponse,
@@ -448,25 +417,3 @@
         logging.warning("%s", decoded.unwrap_err())
         return None
     return decoded.unwrap()
-
-
-def _abort_unless_complete(
-    upstream_res: upstream_response.UpstreamResponse,
-    conn: upstream_conn.UpstreamConn,
-) -> None:
-    """Closes a connection whose response was not read to its end."""
-    if not upstream_res.is_complete:
-        conn.abort()
-
-
-async def _send_body(
-    req: request_module.Request, conn: upstream_conn.UpstreamConn
-) -> None:
-    """Streams a request body to the upstream."""
-    while chunk := await req.read():
-        if req.length is None:
-            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
-        await conn.send(chunk)
-    if req.length is None:
-        await conn.send(b"0\r\n\r\n")
-    conn.end_body()
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -11,7 +11,11 @@
 from bramleyworks.gateway import cluster_state
 from bramleyworks.gateway import crash_detector
 from bramleyworks.gateway import event_log
+from bramleyworks.gateway import exchange_progress
 from bramleyworks.gateway import fingerprint as fingerprint_module
+from bramleyworks.gateway import isolation as isolation_module
+from bramleyworks.gateway import peer_proxy
+from bramleyworks.gateway import proxied_head
 from bramleyworks.gateway import quotas as quotas_module
 from bramleyworks.gateway import refused
 from bramleyworks.gateway import request as request_module
@@ -23,6 +27,7 @@
 from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.gateway import upstream_selector
 from bramleyworks.platform import header_names
+from bramleyworks.policy import isolation as isolation_policy
 from bramleyworks.policy import placement
 from bramleyworks.policy import quarantine
 from bramleyworks.policy import return_schedule
@@ -36,6 +41,10 @@
 # Multiple of the expected latency that must be left before a planned stop ends;
 # a request that is cut off then has no answer, and may have run.
 STOP_LATENCY_FACTOR = 2.0
+# Other VMs that a request is passed on to, one after the other.
+MAX_PROXY_ATTEMPTS = 2
+# Statuses that do not tell whether the request has run.
+UNKNOWN_STATUSES = (502, 504)
 
 
 class Exchanges:
@@ -55,6 +64,10 @@
         quotas: quotas_module.Quotas,
         retries: retry_budget.RetryBudget,
         crashes: crash_detector.CrashDetector,
+        isolation: isolation_module.Isolation,
+        proxy_peers: Callable[[str], list[isolation_policy.Peer]],
+        is_live_peer: Callable[[str], bool],
+        own_ip: str,
         vm_count: Callable[[str | None], int],
         record_response: Callable[[str, int, float], None],
         log: event_log.EventLog,
@@ -69,6 +82,11 @@
             quotas: Rate limits of organisations.
             retries: Budget of retries.
             crashes: Detects requests that end upstreams.
+            isolation: Detects that this VM reaches no upstream.
+            proxy_peers: Returns the VMs that may send requests to a service
+                for this one.
+            is_live_peer: Returns whether heartbeats of a VM arrive.
+            own_ip: Address of this VM.
             vm_count: Returns the number of live VMs in a region, in all
                 regions for None.
             record_response: Records route, status and duration in seconds.
@@ -77,7 +95,15 @@
         """
         self._admission = admission.Admission(cluster, quotas, clock)
         self._attempts = attempts_module.Attempts(
-            cluster, traffic, self._should_close, clock
+            cluster, traffic, isolation, self._should_close, clock
+        )
+        self._proxy = peer_proxy.PeerProxy(
+            own_ip,
+            region,
+            proxy_peers,
+            is_live_peer,
+            self._should_close,
+            clock,
         )
         self._selector = upstream_selector.UpstreamSelector(
             region, cluster, traffic, vm_count, clock
@@ -87,6 +113,7 @@
         self._traffic = traffic
         self._retry_budget = retries
         self._crashes = crashes
+        self._isolation = isolation
         self._vm_count = vm_count
         self._record_response = record_response
         self._log = log
@@ -101,13 +128,30 @@
         """Starts a task that handles a request."""
         return asyncio.get_running_loop().create_task(self._run(req, res))
 
-    async def _run(
+    def start_proxied(
         self, req: request_module.Request, res: response_module.Response
+    ) -> asyncio.Task:
+        """Starts a task that handles a request of another VM."""
+        return asyncio.get_running_loop().create_task(
+            self._run(req, res, is_proxied=True)
+        )
+
+    def close(self) -> None:
+        """Closes the connections to other VMs."""
+        self._proxy.close()
+
+    async def _run(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        is_proxied: bool = False,
     ) -> None:
-        trace = trace_module.Trace()
+        trace = trace_module.Trace(is_proxied=is_proxied)
         self.running += 1
         try:
-            ctx = self._admission.admit(req, trace)
+            ctx = self._admission.admit(
+                req, _take_proxied_fields(req) if is_proxied else None, trace
+            )
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time()
                 + ctx.deadline_s
@@ -143,10 +187,7 @@
         ctx: request_context.RequestContext,
         trace: trace_module.Trace,
     ) -> None:
-        self._traffic.record_request(
-            ctx.route.name, ctx.service, ctx.route.objective_s
-        )
-        self._retry_budget.record_request(ctx.service)
+        self._record_demand(ctx)
         body = await req.read_all(MAX_BUFFERED_REQUEST_BYTES)
         fingerprint = fingerprint_module.compute(
             req,
@@ -154,29 +195,62 @@
             req.peek(MAX_BUFFERED_REQUEST_BYTES) if body is None else body,
         )
         self._check_quarantine(ctx, fingerprint)
-        tried: set[str] = set()
-        error_response = None
-        last = attempt_outcome.Outcome(
-            attempt_outcome.AttemptResult.NOT_RUN, "no attempt was made"
+        progress = exchange_progress.ExchangeProgress()
+        await self._try_upstreams(
+            req, res, ctx, body, fingerprint, progress, trace
         )
-        may_have_run = False
-        for number in range(ctx.route.attempts):
+        if self._may_proxy(res, ctx, body, fingerprint, progress):
+            await self._try_peers(req, res, ctx, body, progress, trace)
+        if progress.last.result is attempt_outcome.AttemptResult.ANSWERED:
+            return
+        if progress.refusal is not None:
+            self._admission.refund(ctx)
+            raise progress.refusal
+        self._finish_failed(req, res, ctx, progress, trace)
+
+    def _record_demand(self, ctx: request_context.RequestContext) -> None:
+        """Counts a caller's request, at one VM each for demand and retries."""
+        if not self._isolation.is_isolated:
+            self._traffic.record_request(
+                ctx.route.name, ctx.service, ctx.route.objective_s
+            )
+        if not ctx.is_proxied:
+            self._retry_budget.record_request(ctx.service)
+
+    async def _try_upstreams(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        ctx: request_context.RequestContext,
+        body: bytes | None,
+        fingerprint: str,
+        progress: exchange_progress.ExchangeProgress,
+        trace: trace_module.Trace,
+    ) -> None:
+        """Makes attempts until one answers or no other may be made."""
+        tried: set[str] = set()
+        for number in range(ctx.attempts):
+            if self._isolation.is_isolated:
+                progress.is_unreachable = True
+                if number == 0:
+                    progress.refusal = self._unreachable(ctx)
+                return
             upstream, choice = self._selector.choose(ctx, tried)
             if upstream is None:
+                progress.is_unreachable = self._selector.is_unreachable(ctx)
                 if number == 0:
-                    raise self._no_capacity(ctx, choice)
-                break
+                    progress.refusal = self._no_capacity(ctx, choice)
+                return
             if not self._may_finish(choice):
                 if number == 0:
-                    self._admission.refund(ctx)
-                    raise refused.RefusedError(
+                    progress.refusal = refused.RefusedError(
                         503, "this VM stops too soon", RETRY_AFTER_MIN_S
                     )
-                break
+                return
             if number and not self._retry_budget.try_retry(
                 ctx.service, self._vm_count(None)
             ):
-                break
+                return
             tried.add(upstream.instance.id)
             start_s = self._clock()
             # The entry stays pending if the caller disconnects or the deadline
@@ -192,21 +266,96 @@
             finally:
                 entry["ms"] = round((self._clock() - start_s) * 1000)
             self._record_crash_evidence(upstream, fingerprint, last)
-            if last.result is attempt_outcome.AttemptResult.ANSWERED:
+            progress.record(last)
+            if not self._may_repeat(res, ctx, body, fingerprint, progress):
                 return
-            error_response = last.error_response or error_response
-            if last.result is not attempt_outcome.AttemptResult.NOT_RUN:
-                may_have_run = True
-                if not ctx.route.idempotent:
-                    break
-            if res.started or body is None:
-                break
-            if self._may_end_upstreams(fingerprint, last):
-                break
-        self._finish_failed(
-            req, res, ctx, trace, last, error_response, may_have_run
+
+    def _may_repeat(
+        self,
+        res: response_module.Response,
+        ctx: request_context.RequestContext,
+        body: bytes | None,
+        fingerprint: str,
+        progress: exchange_progress.ExchangeProgress,
+    ) -> bool:
+        """Returns whether a request may be sent again after an attempt."""
+        last = progress.last
+        if last.result is attempt_outcome.AttemptResult.ANSWERED:
+            return False
+        if progress.may_have_run and not ctx.route.idempotent:
+            return False
+        if res.started or body is None:
+            return False
+        return not self._may_end_upstreams(fingerprint, last)
+
+    def _may_proxy(
+        self,
+        res: response_module.Response,
+        ctx: request_context.RequestContext,
+        body: bytes | None,
+        fingerprint: str,
+        progress: exchange_progress.ExchangeProgress,
+    ) -> bool:
+        """Returns whether another VM may send a request in place of this one.
+
+        It may if this VM reaches no upstream for it. A request is passed on
+        once only, and not if it may run twice.
+        """
+        if ctx.is_proxied or progress.sent >= ctx.attempts:
+            return False
+        if progress.attempts == 0:
+            return progress.is_unreachable
+        if not progress.last.is_link_failure and not progress.is_unreachable:
+            return False
+        if not self._may_repeat(res, ctx, body, fingerprint, progress):
+            return False
+        return not progress.sent or self._retry_budget.try_retry(
+            ctx.service, self._vm_count(None)
         )
 
+    async def _try_peers(
+        self,
+        req: request_module.Request,
+        res: response_module.Response,
+        ctx: request_context.RequestContext,
+        body: bytes | None,
+        progress: exchange_progress.ExchangeProgress,
+        trace: trace_module.Trace,
+    ) -> None:
+        """Passes a request on to other VMs until one of them sends it."""
+        tried: set[str] = set()
+        for _ in range(MAX_PROXY_ATTEMPTS):
+            peer = self._proxy.choose(
+                ctx, tried, needs_contact=not self._isolation.is_isolated
+            )
+            if peer is None:
+                return
+            tried.add(peer.id)
+            start_s = self._clock()
+            entry = trace_module.new_proxy_entry(peer)
+            trace.tried.append(entry)
+            try:
+                last = await self._proxy.run(
+                    req,
+                    res,
+                    ctx,
+                    peer,
+                    ctx.attempts - progress.sent,
+                    body,
+                    trace,
+                )
+                entry["outcome"] = last.result.value
+                entry["reason"] = last.reason
+            finally:
+                entry["ms"] = round((self._clock() - start_s) * 1000)
+            progress.record(last)
+            progress.refusal = None
+            if (
+                last.result is not attempt_outcome.AttemptResult.NOT_RUN
+                or body is None
+            ):
+                return
+
     def _may_finish(self, choice: placement.Choice) -> bool:
         """Returns whether an attempt may finish before a stop ends."""
         needed_s = STOP_LATENCY_FACTOR * choice.expected_s
@@ -264,28 +413,29 @@
         req: request_module.Request,
         res: response_module.Response,
         ctx: request_context.RequestContext,
+        progress: exchange_progress.ExchangeProgress,
         trace: trace_module.Trace,
-        last: attempt_outcome.Outcome,
-        error_response: tuple[int, list[tuple[bytes, bytes]], bytes] | None,
-        may_have_run: bool,
     ) -> None:
         """Responds to a request after its last attempt failed."""
+        last = progress.last
         if res.started:
             trace.reason = last.reason
             res.abort()
             return
-        if error_response is not None:
-            status, headers, body = error_response
+        if progress.error_response is not None:
+            status, headers, body = progress.error_response
             trace.status = status
             trace.reason = "the upstream's own error"
             req.discard()
             res.write_complete(status, headers, body, self._should_close(req))
             return
-        if may_have_run:
+        if progress.may_have_run:
             raise refused.RefusedError(502, last.reason)
         self._admission.refund(ctx)
         raise refused.RefusedError(
-            503, last.reason, self._retry_after_s(ctx, 0.0)
+            503,
+            last.reason,
+            self._retry_after_s(ctx, last.retry_after_s or 0.0),
         )
 
     def _no_capacity(
@@ -293,7 +443,6 @@
         ctx: request_context.RequestContext,
         choice: placement.Choice,
     ) -> refused.RefusedError:
-        self._admission.refund(ctx)
         left_s = ctx.deadline_s - self._clock()
         reason = (
             f"no upstream of {ctx.service} has room: {choice.wait_s:.3f} s "
@@ -313,6 +462,15 @@
             503, reason, self._retry_after_s(ctx, wait_s)
         )
 
+    def _unreachable(
+        self, ctx: request_context.RequestContext
+    ) -> refused.RefusedError:
+        return refused.RefusedError(
+            503,
+            "neither this VM nor another one reaches upstreams",
+            self._retry_after_s(ctx, isolation_module.PROBE_INTERVAL_S),
+        )
+
     def _retry_after_s(
         self, ctx: request_context.RequestContext, wait_s: float
     ) -> float:
@@ -343,6 +501,8 @@
             headers.append(
                 (b"retry-after", b"%.3f" % max(0.0, refusal.retry_after_s))
             )
+        if trace.is_proxied and refusal.status not in UNKNOWN_STATUSES:
+            headers.append((header_names.NOT_RUN, b"1"))
         request_id = req.get(header_names.REQUEST_ID)
         if request_id is not None:
             headers.append((header_names.REQUEST_ID, request_id))
@@ -383,4 +543,20 @@
             reason=trace.reason,
             tried=trace.tried,
             ms=round(elapsed_s * 1000, 1),
+            proxied=trace.is_proxied,
         )
+
+
+def _take_proxied_fields(
+    req: request_module.Request,
+) -> proxied_head.ProxiedFields:
+    """Takes the fields of another VM from a request and counts its age.
+
+    Raises:
+        refused.RefusedError: They are missing or malformed.
+    """
+    fields = proxied_head.take(req)
+    if fields is None:
+        raise refused.RefusedError(400, "the fields of the VM are malformed")
+    req.received_s -= fields.age_s
+    return fields
--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -218,6 +218,12 @@
             )
         self._transport.abort()
 
+    @property
+    def host(self) -> str:
+        """Address of the remote side, empty if it is gone already."""
+        peername = self._transport.get_extra_info("peername")
+        return peername[0] if peername else ""
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight, or a response not yet sent."""
--- a/src/bramleyworks/gateway/front_server.py
+++ b/src/bramleyworks/gateway/front_server.py
@@ -4,6 +4,8 @@
 import contextlib
 from collections.abc import Callable
 
+from absl import logging
+
 from bramleyworks.gateway import front_conn
 from bramleyworks.gateway import limits as limits_module
 
@@ -21,6 +23,7 @@
         handle: front_conn.Handler,
         limits: Callable[[], limits_module.Limits],
         clock: Callable[[], float],
+        accepts: Callable[[str], bool] = lambda _: True,
     ):
         """Initializes a server that is not listening yet.
 
@@ -28,7 +31,9 @@
             handle: Starts the task that handles a request.
             limits: Returns the limits in force.
             clock: Monotonic time in seconds.
+            accepts: Returns whether a host may connect.
         """
+        self._accepts = accepts
         self._handle = handle
         self._limits = limits
         self._clock = clock
@@ -78,6 +83,13 @@
             self._handle,
             self._limits,
             self._clock,
-            self._conns.add,
+            self._add_conn,
             self._conns.discard,
         )
+
+    def _add_conn(self, conn: front_conn.FrontConn) -> None:
+        if not self._accepts(conn.host):
+            logging.warning("connection of unknown host %s closed", conn.host)
+            conn.abort()
+            return
+        self._conns.add(conn)
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
 import socket
 import time
@@ -20,6 +21,8 @@
 from bramleyworks.gateway import exchange
 from bramleyworks.gateway import front_server
 from bramleyworks.gateway import heartbeat as heartbeat_module
+from bramleyworks.gateway import isolation as isolation_module
+from bramleyworks.gateway import limits as limits_module
 from bramleyworks.gateway import move_recorder
 from bramleyworks.gateway import peers as peers_module
 from bramleyworks.gateway import quotas as quotas_module
@@ -37,6 +40,7 @@
 from bramleyworks.platform import kv_position
 from bramleyworks.platform import kv_store
 from bramleyworks.platform import wire_updates
+from bramleyworks.policy import isolation as isolation_policy
 from bramleyworks.policy import quarantine as quarantine_module
 
 # Interval at which limits and moves are updated.
@@ -55,6 +59,10 @@
 QUARANTINE_REPORT_EVERY = 6
 # Delay before a background task that failed is started again.
 TASK_RESTART_DELAY_S = 0.5
+# Room for the fields that VMs add to the heads of requests they pass on.
+PROXIED_HEADER_BYTES = 256
+# Other VMs close their connections long before this.
+PEER_IDLE_TIMEOUT_S = 60.0
 # Part of the grace period that is reserved for the end of the process.
 STOP_MARGIN_S = 0.7
 
@@ -136,6 +144,9 @@
             settings.retry_window_s,
             clock,
         )
+        self._isolation = isolation_module.Isolation(
+            self._cluster, self._peers.request_send, log, clock
+        )
         self._crashes = crash_detector.CrashDetector(
             self._quarantine,
             settings.vm_id,
@@ -152,6 +163,10 @@
             self._quotas,
             self._budget,
             self._crashes,
+            self._isolation,
+            self._peers.proxy_peers,
+            self._peers.is_live,
+            settings.ip,
             self._known_vm_count,
             self._metrics.record_response,
             log,
@@ -160,6 +175,12 @@
         self._front = front_server.FrontServer(
             self._exchanges.start, self._cluster.limits, clock
         )
+        self._peer_front = front_server.FrontServer(
+            self._exchanges.start_proxied,
+            self._peer_limits,
+            clock,
+            lambda host: host in self._peers.hosts(),
+        )
         self._replica_encoder = replica_update.ReplicaUpdateEncoder(
             self._replica
         )
@@ -167,6 +188,7 @@
             self._own,
             self._is_ready,
             self._peers.entry_addresses,
+            self._reach,
             lambda: self._cluster.vms,
         )
         self._loads_sent_s = clock()
@@ -216,7 +238,9 @@
         await self._store.open()
         stack.push_async_callback(self._store.close)
         stack.callback(self._recorder.close)
+        stack.callback(self._isolation.close)
         stack.callback(self._crashes.close)
+        stack.callback(self._exchanges.close)
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self._peers,
@@ -225,12 +249,15 @@
         stack.callback(transport.close)
         await self._front.open(self._cfg.entry)
         stack.push_async_callback(self._front.close)
+        await self._peer_front.open(self._own.peer)
+        stack.push_async_callback(self._peer_front.close)
         await self._open_http()
         for run in (
             self._sync.run,
             self._registration.run,
             self._peers.run,
             self._front.run,
+            self._peer_front.run,
             self._run_ticks,
             self._run_state_reports,
             self._run_flushes,
@@ -246,6 +273,7 @@
             self._peers,
             self._replica,
             self._sync,
+            self._isolation,
             self._log,
         )
 
@@ -336,9 +364,8 @@
                 self._front.stop_listening()
                 # Connections that came since the first time.
                 self._front.drain()
-            if is_listening_stopped and (
-                not self._front.busy_conns or now_s >= deadline_s
-            ):
+            busy_conns = self._front.busy_conns + self._peer_front.busy_conns
+            if is_listening_stopped and (not busy_conns or now_s >= deadline_s):
                 return
             await asyncio.sleep(0.05)
 
@@ -351,6 +378,7 @@
             vm_count = len(vms)
             self._cluster.registry.rate_limits.update_vms(self._own.id, vms)
             self._update_limits(heartbeats, vm_count)
+            self._isolation.check()
             ticks += 1
             if self._peers.is_full_mesh or ticks % TICKS_PER_SURVEY == 0:
                 self._survey_upstreams(heartbeats, vm_count)
@@ -392,6 +420,9 @@
             upstream.peers_in_flight = in_flight.get(upstream.instance.id, 0.0)
             upstream.close_idle()
         self._cluster.registry.forget_limits()
+        if not self._isolation.is_settled:
+            # The upstreams that this VM can use tell of its links.
+            return
         config = self._cluster.config
         self._traffic.update(
             config.services if config else (),
@@ -421,6 +452,23 @@
         if update is not None:
             self._cluster.apply(update)
 
+    def _peer_limits(self) -> limits_module.Limits:
+        """Returns the limits on requests of other VMs."""
+        return dataclasses.replace(
+            self._cluster.limits(),
+            header_bytes=self._cluster.limits().header_bytes
+            + PROXIED_HEADER_BYTES,
+            idle_timeout_s=PEER_IDLE_TIMEOUT_S,
+        )
+
+    def _reach(self) -> dict[str, isolation_policy.Reach]:
+        """Returns whether this VM and its peers reach upstreams, by id."""
+        ages = self._isolation.contact_ages()
+        own = isolation_policy.reach_of(
+            min(ages.values(), default=None), self._isolation.is_isolated
+        )
+        return self._peers.reach() | {self._own.id: own}
+
     def _is_ready(self) -> bool:
         return self._cluster.config is not None and not self._is_stopping
 
@@ -481,6 +529,11 @@
             quarantine=self._quarantine.reports(
                 only_recent=bool(sequence % QUARANTINE_REPORT_EVERY)
             ),
+            cut_off=[self._own.id] if self._isolation.is_isolated else [],
+            contacts={
+                service: round(age_s * 100)
+                for service, age_s in self._isolation.contact_ages().items()
+            },
         )
 
     def _load_reports(self) -> dict[str, tuple[int, int]]:
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -67,6 +67,9 @@
             is the summary of a region; otherwise empty.
         covered_vms: Number of VMs that a summary covers, 0 if this is the
             heartbeat of the sender alone.
+        cut_off: Ids of the VMs that are covered and reach no upstream.
+        contacts: Age of the last response of an upstream to a VM that is
+            covered, in hundredths of a second by service.
         is_full: Whether ``usage``, ``limits`` and ``members`` are complete. In
             a delta, the first two have the changes since the last full
             heartbeat, and ``members`` is omitted because it did not change.
@@ -89,6 +92,8 @@
     era: int = 0
     config: int = 0
     quarantine: dict[str, tuple[list[int], list[int], int, float]] = {}
+    cut_off: list[str] = []
+    contacts: dict[str, int] = {}
 
     @property
     def position(self) -> kv_position.Position:
@@ -107,6 +112,7 @@
             for pair in pairs.values():
                 numbers.extend(pair)
         numbers.extend(self.in_flight.values())
+        numbers.extend(self.contacts.values())
         for ended, cleared, trials, age_s in self.quarantine.values():
             numbers.extend((*ended, *cleared, trials, age_s))
         for report in self.moves.values():
--- /dev/null
+++ b/src/bramleyworks/gateway/isolation.py
@@ -0,0 +1,298 @@
+"""Detects that this VM is cut off from all upstreams, and when it is back."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from bramleyworks.gateway import cluster_state as cluster_state_module
+from bramleyworks.gateway import event_log
+from bramleyworks.gateway import upstream as upstream_module
+from bramleyworks.gateway import upstream_conn
+from bramleyworks.policy import isolation
+
+# Upstreams that are probed in one round.
+PROBES_PER_ROUND = 4
+# A probe waits for a slot like any request.
+PROBE_TIMEOUT_S = 0.5
+# Shortest time from the end of a round without a response to the next one.
+PROBE_INTERVAL_S = 0.3
+# Upstreams that are probed at once after the links work again, and rounds
+# until the rest is left to half-open probes.
+RECOVERY_PROBES = 4
+RECOVERY_ROUNDS = 5
+# Step of errors of attempts that were given up because of isolation.
+ISOLATED_STEP = "upstream.isolated"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _OpenAttempt:
+    """An attempt that waits for its response.
+
+    Attributes:
+        upstream_id: Id of its upstream.
+        conn: Its connection.
+        sent_s: Monotonic time of its start in seconds.
+        overdue_s: Monotonic time in seconds at which it is overdue.
+        may_repeat: Whether its request may be sent again.
+    """
+
+    upstream_id: str
+    conn: upstream_conn.UpstreamConn
+    sent_s: float
+    overdue_s: float
+    may_repeat: bool
+
+
+class Isolation:
+    """Suspects, probes and recovers.
+
+    The VM is isolated while no probed upstream responds, whether the links or
+    the upstreams are down; other VMs tell which.
+
+    Attributes:
+        is_isolated: Whether no upstream is reached.
+    """
+
+    def __init__(
+        self,
+        cluster: cluster_state_module.ClusterState,
+        notify_peers: Callable[[], None],
+        log: event_log.EventLog,
+        clock: Callable[[], float],
+    ):
+        """Initializes the detector.
+
+        Args:
+            cluster: Configuration and upstreams as known to this VM.
+            notify_peers: Sends the next heartbeat early.
+            log: Event log.
+            clock: Monotonic time in seconds.
+        """
+        self.is_isolated = False
+        self._cluster = cluster
+        self._notify_peers = notify_peers
+        self._log = log
+        self._clock = clock
+        self._last_contact_s = clock()
+        self._contacts: dict[str, float] = {}
+        # Upstreams that failed since the last response of any.
+        self._failed: set[str] = set()
+        self._open: set[_OpenAttempt] = set()
+        self._round: asyncio.Task[bool | None] | None = None
+        self._watch: asyncio.Task | None = None
+        self._recovery: asyncio.Task | None = None
+        self._next_probe = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether what this VM sees of upstreams tells of them."""
+        return not self.is_isolated and self._recovery is None
+
+    def close(self) -> None:
+        """Cancels all probes."""
+        for task in (self._round, self._watch, self._recovery):
+            if task is not None:
+                task.cancel()
+
+    def contact_ages(self) -> dict[str, float]:
+        """Returns the seconds since an upstream responded, by service."""
+        now_s = self._clock()
+        return {
+            service: now_s - at_s
+            for service, at_s in self._contacts.items()
+            if now_s - at_s <= isolation.CONTACT_TTL_S
+        }
+
+    def record_contact(self, service: str) -> None:
+        """Records a response of an upstream."""
+        self._last_contact_s = self._contacts[service] = self._clock()
+        self._failed.clear()
+        if self.is_isolated:
+            self._end()
+
+    def record_failure(self, upstream_id: str, started_s: float) -> None:
+        """Records an attempt that broke off or could not connect.
+
+        Args:
+            upstream_id: Id of its upstream.
+            started_s: Monotonic time of its start in seconds.
+        """
+        if started_s >= self._last_contact_s:
+            self._failed.add(upstream_id)
+            self.check()
+
+    @contextlib.contextmanager
+    def observe(
+        self,
+        upstream: upstream_module.Upstream,
+        conn: upstream_conn.UpstreamConn,
+        expected_s: float,
+        may_repeat: bool,
+    ) -> Iterator[None]:
+        """Observes an attempt while it waits for the head of its response.
+
+        Args:
+            upstream: Its upstream.
+            conn: Its connection, which fails when this VM is isolated and the
+                request may be sent again.
+            expected_s: Expected latency in seconds.
+            may_repeat: Whether the request may be sent again.
+        """
+        now_s = self._clock()
+        attempt = _OpenAttempt(
+            upstream.instance.id,
+            conn,
+            now_s,
+            now_s + isolation.overdue_after_s(expected_s),
+            may_repeat,
+        )
+        self._open.add(attempt)
+        try:
+            yield
+        finally:
+            self._open.discard(attempt)
+
+    def check(self) -> None:
+        """Starts to probe if the VM may be cut off; called at each tick."""
+        if self.is_isolated:
+            self._give_up_overdue()
+        if self._watch is not None:
+            return
+        now_s = self._clock()
+        failed = self._failed | {
+            a.upstream_id
+            for a in self._open
+            if a.overdue_s <= now_s and a.sent_s > self._last_contact_s
+        }
+        quiet_s = now_s - self._last_contact_s
+        if self.is_isolated or isolation.is_suspect(len(failed), quiet_s):
+            self._watch = asyncio.create_task(self._watch_links())
+            self._watch.add_done_callback(self._forget_watch)
+
+    async def probe(self) -> bool | None:
+        """Returns whether any of some upstreams responds to a health check.
+
+        Concurrent calls share one round.
+
+        Returns:
+            None if there is no upstream that may be asked.
+        """
+        if self._round is None:
+            self._round = asyncio.create_task(self._run_round())
+            self._round.add_done_callback(self._forget_round)
+        return await asyncio.shield(self._round)
+
+    def _forget_round(self, _: asyncio.Task) -> None:
+        self._round = None
+
+    def _forget_watch(self, _: asyncio.Task) -> None:
+        self._watch = None
+
+    def _forget_recovery(self, _: asyncio.Task) -> None:
+        self._recovery = None
+
+    async def _watch_links(self) -> None:
+        """Probes until an upstream responds."""
+        while True:
+            has_response = await self.probe()
+            if has_response is None or has_response:
+                if self.is_isolated:
+                    self._end()
+                return
+            if not self.is_isolated:
+                self._begin()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _run_round(self) -> bool | None:
+        chosen = self._choose_probed()
+        if not chosen:
+            return None
+        async with contextlib.AsyncExitStack() as stack:
+            tasks = {asyncio.create_task(self._probe(u)) for u in chosen}
+            for task in tasks:
+                stack.callback(task.cancel)
+            for finished in asyncio.as_completed(tasks):
+                if await finished:
+                    return True
+        return False
+
+    async def _probe(self, upstream: upstream_module.Upstream) -> bool:
+        service = upstream.instance.service
+        is_up = await upstream.is_responsive(
+            self._cluster.health_path(service), PROBE_TIMEOUT_S
+        )
+        if is_up:
+            self.record_contact(service)
+        return is_up
+
+    def _choose_probed(self) -> list[upstream_module.Upstream]:
+        """Returns upstreams of different failure domains, by turns."""
+        askable = sorted(
+            (u for u in self._cluster.registry.all() if u.may_be_probed),
+            key=lambda u: (u.load() / u.instance.slots, u.instance.id),
+        )
+        if not askable:
+            return []
+        start = self._next_probe % len(askable)
+        self._next_probe += PROBES_PER_ROUND
+        turned = askable[start:] + askable[:start]
+        by_domain: dict[str, upstream_module.Upstream] = {}
+        for upstream in turned:
+            by_domain.setdefault(upstream.instance.failure_domain, upstream)
+        first = list(by_domain.values())
+        rest = [u for u in turned if u not in first]
+        return (first + rest)[:PROBES_PER_ROUND]
+
+    def _begin(self) -> None:
+        self.is_isolated = True
+        self._log.write(
+            "isolation.started",
+            failed=len(self._failed),
+            quiet_s=round(self._clock() - self._last_contact_s, 3),
+            open=len(self._open),
+        )
+        self._notify_peers()
+        self._give_up_overdue()
+
+    def _end(self) -> None:
+        self.is_isolated = False
+        excluded = sum(
+            1 for u in self._cluster.registry.all() if u.health.excluded
+        )
+        self._log.write("isolation.ended", excluded=excluded)
+        self._notify_peers()
+        if self._recovery is None:
+            self._recovery = asyncio.create_task(self._recover())
+            self._recovery.add_done_callback(self._forget_recovery)
+
+    def _give_up_overdue(self) -> None:
+        """Ends overdue attempts whose requests another VM can send."""
+        now_s = self._clock()
+        for attempt in list(self._open):
+            if attempt.may_repeat and attempt.overdue_s <= now_s:
+                attempt.conn.fail(ISOLATED_STEP, "no upstream responds")
+
+    async def _recover(self) -> None:
+        """Readmits the upstreams that respond again, a few at a time."""
+        for _ in range(RECOVERY_ROUNDS):
+            waiting = [
+                u
+                for u in self._cluster.registry.all()
+                if u.health.excluded and u.may_be_probed
+            ]
+            if not waiting or self.is_isolated:
+                return
+            queue = iter(waiting)
+            async with asyncio.TaskGroup() as group:
+                for _ in range(RECOVERY_PROBES):
+                    group.create_task(self._readmit_from(queue))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _readmit_from(
+        self, queue: Iterator[upstream_module.Upstream]
+    ) -> None:
+        for upstream in queue:
+            if await self._probe(upstream):
+                upstream.readmit()
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -24,6 +24,7 @@
 from bramleyworks.gateway import registry as registry_module
 from bramleyworks.gateway import vm as vm_module
 from bramleyworks.platform import kv_position
+from bramleyworks.policy import isolation
 from bramleyworks.policy import quarantine as quarantine_module
 from bramleyworks.policy import rendezvous
 
@@ -280,19 +281,24 @@
 
         In a full mesh these are all peers, otherwise those of the own region.
         """
-        live = self._fresh(self._received.values())
-        if self.is_full_mesh:
-            return live
-        return [
-            heartbeat for heartbeat in live if self._is_same_region(heartbeat)
-        ]
+        return [received.heartbeat for received in self._live_direct()]
 
     def live_heartbeats(self) -> list[heartbeat_module.Heartbeat]:
         """Returns heartbeats and summaries that cover each live peer once."""
+        return [received.heartbeat for received in self._live()]
+
+    def _live(self) -> list[ReceivedHeartbeat]:
+        """Returns what ``live_heartbeats`` does, with times of arrival."""
         if self.is_full_mesh:
-            return self.direct_heartbeats()
+            return self._live_direct()
         summaries = [self._summaries[n] for n in self._active_relays.values()]
-        return self.direct_heartbeats() + self._fresh(summaries)
+        return self._live_direct() + self._fresh(summaries)
+
+    def _live_direct(self) -> list[ReceivedHeartbeat]:
+        live = self._fresh(self._received.values())
+        if self.is_full_mesh:
+            return live
+        return [r for r in live if self._is_same_region(r.heartbeat)]
 
     def live_vm_count(self) -> int:
         """Returns the number of live VMs, including this one."""
@@ -315,6 +321,81 @@
                 )
         return found
 
+    def proxy_peers(self, service: str) -> list[isolation.Peer]:
+        """Returns the ready peers with their reach for a service."""
+        addresses = {vm.id: vm.peer for vm in self._registered().values()}
+        found = []
+        for received in self._live():
+            heartbeat = received.heartbeat
+            age_s = self._contact_age_s(received, service)
+            cut_off = set(heartbeat.cut_off)
+            if heartbeat.covered_vms:
+                names = {
+                    name: addresses[name]
+                    for name in heartbeat.members
+                    if name in addresses
+                }
+            elif heartbeat.is_ready:
+                names = {heartbeat.vm.id: heartbeat.vm.peer}
+            else:
+                continue
+            found.extend(
+                isolation.Peer(
+                    name,
+                    heartbeat.vm.region,
+                    address,
+                    isolation.reach_of(age_s, name in cut_off),
+                )
+                for name, address in names.items()
+            )
+        return found
+
+    def reach(self) -> dict[str, isolation.Reach]:
+        """Returns the reach of each ready peer, for any service, by id."""
+        found = {}
+        for received in self._live():
+            heartbeat = received.heartbeat
+            age_s = self._contact_age_s(received, None)
+            names = heartbeat.members or {heartbeat.vm.id: ""}
+            for name in names:
+                found[name] = isolation.reach_of(
+                    age_s, name in heartbeat.cut_off
+                )
+        return found
+
+    def contact_age_s(self) -> float:
+        """Returns the seconds since an upstream responded to any peer."""
+        ages = (self._contact_age_s(r, None) for r in self._live())
+        return min((a for a in ages if a is not None), default=math.inf)
+
+    def is_live(self, vm_id: str) -> bool:
+        """Returns whether heartbeats tell that a peer is live and ready."""
+        return vm_id in self.entry_addresses()
+
+    def hosts(self) -> set[str]:
+        """Returns the addresses of hosts that known VMs run on."""
+        vms = [r.heartbeat.vm for r in self._received.values()]
+        vms.extend(self._registered().values())
+        return {vm_module.split_address(vm.peer)[0] for vm in vms}
+
+    def _contact_age_s(
+        self, received: ReceivedHeartbeat, service: str | None
+    ) -> float | None:
+        """Returns the seconds since an upstream responded, None if unknown.
+
+        Args:
+            received: Heartbeat of the VM that it responded to.
+            service: The upstream's service, None for any.
+        """
+        contacts = received.heartbeat.contacts
+        if service is None:
+            age = min(contacts.values(), default=None)
+        else:
+            age = contacts.get(service)
+        if age is None:
+            return None
+        return age / 100 + self._clock() - received.received_s
+
     def relays(self) -> tuple[str, ...]:
         """Returns the ids of the own region's relays in order of preference."""
         return self._derive().relays
@@ -412,14 +493,10 @@
 
     def _fresh(
         self, found: Iterable[ReceivedHeartbeat]
-    ) -> list[heartbeat_module.Heartbeat]:
+    ) -> list[ReceivedHeartbeat]:
         """Returns the heartbeats that are fresh."""
         oldest_s = self._clock() - MAX_MISSED_HEARTBEATS * self.interval_s
-        return [
-            received.heartbeat
-            for received in found
-            if received.received_s >= oldest_s
-        ]
+        return [r for r in found if r.received_s >= oldest_s]
 
     def _evict_stale(self) -> None:
         """Evicts peers that have been stale for several times the limit."""
--- a/src/bramleyworks/gateway/region_summary.py
+++ b/src/bramleyworks/gateway/region_summary.py
@@ -40,6 +40,10 @@
                 demand[service] = round(demand.get(service, 0.0) + slots, 2)
             for name, (_, rate) in heartbeat.usage.items():
                 rates[name] = rates.get(name, 0) + rate
+        contacts: dict[str, int] = {}
+        for heartbeat in heartbeats:
+            for service, age in heartbeat.contacts.items():
+                contacts[service] = min(age, contacts.get(service, age))
         self._add_admitted(heartbeats)
         return msgspec.structs.replace(
             own,
@@ -54,6 +58,8 @@
             moves=_merge_moves(heartbeats),
             members={b.vm.id: b.vm.entry for b in heartbeats if b.is_ready},
             covered_vms=len(heartbeats),
+            cut_off=[name for b in heartbeats for name in b.cut_off],
+            contacts=contacts,
         )
 
     def _add_admitted(
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -227,17 +227,38 @@
             versions: Versions that requests may be sent to.
         """
         for upstream in self._by_service.get(service, {}).get(region, ()):
-            instance = upstream.instance
-            if (
-                not instance.is_draining
-                and instance.version in versions
-                and instance.failure_domain not in self._evacuated
-                and not upstream.is_excluded
-                and not upstream.is_leaving
-                and not upstream.pause_s
+            if not upstream.is_excluded and self._wants_requests(
+                upstream, versions
             ):
                 yield upstream
 
+    def has_excluded(
+        self, service: str, region: str, versions: set[str]
+    ) -> bool:
+        """Returns whether outlier detection alone keeps an upstream out.
+
+        Args:
+            service: Name of the service.
+            region: Region of the upstream.
+            versions: Versions that requests may be sent to.
+        """
+        return any(
+            upstream.is_excluded and self._wants_requests(upstream, versions)
+            for upstream in self._by_service.get(service, {}).get(region, ())
+        )
+
+    def _wants_requests(
+        self, upstream: upstream_module.Upstream, versions: set[str]
+    ) -> bool:
+        instance = upstream.instance
+        return (
+            not instance.is_draining
+            and instance.version in versions
+            and instance.failure_domain not in self._evacuated
+            and not upstream.is_leaving
+            and not upstream.pause_s
+        )
+
     def shortest_pause_s(self, service: str) -> float:
         """Returns the seconds until a paused upstream may get requests.
 
--- a/src/bramleyworks/gateway/request_context.py
+++ b/src/bramleyworks/gateway/request_context.py
@@ -23,6 +23,9 @@
         objective_s: Time by which a response has its full value.
         regions: Regions that may serve it, empty if all may.
         priority: Its priority.
+        attempts: Upstreams that it may still be sent to.
+        is_proxied: Whether another VM passed it on, which has counted it
+            against the organisation's rate.
     """
 
     route: route_module.Route
@@ -35,3 +38,5 @@
     objective_s: float
     regions: frozenset[str]
     priority: int
+    attempts: int
+    is_proxied: bool
--- a/src/bramleyworks/gateway/state_report.py
+++ b/src/bramleyworks/gateway/state_report.py
@@ -6,6 +6,7 @@
 from bramleyworks.gateway import cluster_state as cluster_state_module
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import exchange
+from bramleyworks.gateway import isolation as isolation_module
 from bramleyworks.gateway import peers as peers_module
 from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.gateway import store_sync
@@ -24,6 +25,7 @@
     peers: peers_module.Peers,
     replica: store_replica_module.StoreReplica,
     sync: store_sync.StoreSync,
+    isolation: isolation_module.Isolation,
     log: event_log.EventLog,
 ) -> None:
     """Writes a ``state`` line at a fixed interval until cancelled."""
@@ -38,6 +40,7 @@
             era=replica.position.era,
             lost=replica.lost_count(),
             config=cluster.config.version if cluster.config else 0,
+            isolated=isolation.is_isolated,
             store_away=sync.is_store_unavailable,
             work_ms=traffic.work_ms(),
             demand=demand,
--- a/src/bramleyworks/gateway/trace.py
+++ b/src/bramleyworks/gateway/trace.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bramleyworks.gateway import upstream as upstream_module
+from bramleyworks.policy import isolation
 from bramleyworks.policy import placement
 
 OUTCOME_PENDING = "open"
@@ -20,6 +21,7 @@
         tried: One entry per attempt with its estimates and outcome.
         status: Status code of the response, 0 if there was none.
         reason: Reason of a response other than an upstream's success.
+        is_proxied: Whether another VM passed the request on.
     """
 
     route: str = "-"
@@ -29,6 +31,7 @@
     tried: list[dict] = dataclasses.field(default_factory=list)
     status: int = 0
     reason: str = ""
+    is_proxied: bool = False
 
 
 def new_attempt_entry(
@@ -45,3 +48,14 @@
         "wait_ms": round(choice.wait_s * 1000),
         "ms": 0,
     }
+
+
+def new_proxy_entry(peer: isolation.Peer) -> dict:
+    """Returns the log entry of a request that is passed on to another VM."""
+    return {
+        "vm": peer.id,
+        "outcome": OUTCOME_PENDING,
+        "reason": "no complete answer",
+        "reach": peer.reach.value,
+        "ms": 0,
+    }
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -31,6 +31,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # The same for a health check, with time for its response.
 HEALTH_CHECK_TIMEOUT_S = 0.25
+# Step of errors of connections that could not be opened.
+CONNECT_STEP = "upstream.connect"
 # Time constant of the decay of a reported load.
 LOAD_DECAY_S = 1.0
 # Weight of one response in the moving average of an upstream's slowness.
@@ -114,6 +116,13 @@
             and self._clock() < self.health.next_half_open_s
         )
 
+    @property
+    def may_be_probed(self) -> bool:
+        """Whether it wants requests, so that a health check is welcome."""
+        return not (
+            self.instance.is_draining or self.is_leaving or self.pause_s
+        )
+
     @property
     def is_backing_off(self) -> bool:
         """Whether it shed a request a moment ago."""
@@ -252,6 +261,11 @@
         self.health = outlier_detection.after_crash(self.health, self._clock())
         logging.info("upstream %s excluded, it ended", self.instance.id)
 
+    def readmit(self) -> None:
+        """Readmits it after this VM alone had lost its links."""
+        self.health = upstream_health.UpstreamHealth(readmitted_s=self._clock())
+        logging.info("upstream %s readmitted", self.instance.id)
+
     def take_cold_token(self, rate_per_s: float) -> bool:
         """Takes a token for a request during its cold start.
 
@@ -324,7 +338,7 @@
                 )
         except (TimeoutError, OSError) as exc:
             raise errors.UpstreamError(
-                "upstream.connect",
+                CONNECT_STEP,
                 name,
                 str(exc) or type(exc).__name__,
                 not_run=True,
@@ -350,19 +364,22 @@
         self.release(conn)
         return True
 
-    async def is_responsive(self, health_path: str) -> bool:
+    async def is_responsive(
+        self, health_path: str, timeout_s: float = HEALTH_CHECK_TIMEOUT_S
+    ) -> bool:
         """Returns whether it responds to a health check, with any status.
 
         A process that stands still accepts connections, but does not respond.
 
         Args:
             health_path: Path of the health check.
+            timeout_s: Time for a connection and the response in seconds.
         """
         host = f"{self.instance.host}:{self.instance.port}"
         head = f"GET {health_path} HTTP/1.1\r\nhost: {host}\r\n\r\n"
         async with contextlib.AsyncExitStack() as stack:
             try:
-                async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
+                async with asyncio.timeout(timeout_s):
                     conn = await self.connect(False)
                     stack.callback(self.release, conn)
                     res = conn.start(head.encode(), b"", False, False)
--- a/src/bramleyworks/gateway/upstream_conn.py
+++ b/src/bramleyworks/gateway/upstream_conn.py
@@ -112,6 +112,16 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, step: str, reason: str) -> None:
+        """Fails the exchange in flight and closes the connection.
+
+        Args:
+            step: Step of the error.
+            reason: What went wrong.
+        """
+        self._fail_response(step, reason)
+        self.abort()
+
     def pause_writing(self) -> None:
         """Blocks ``send`` while the send buffer is full."""
         self._writable.clear()
--- a/src/bramleyworks/gateway/upstream_head.py
+++ b/src/bramleyworks/gateway/upstream_head.py
@@ -1,5 +1,7 @@
 """Builds the heads of requests to upstreams."""
 
+from collections.abc import Iterator
+
 from bramleyworks import http_fields
 from bramleyworks.gateway import request as request_module
 from bramleyworks.gateway import request_context
@@ -33,20 +35,12 @@
         body: The whole body, None if it is streamed.
         remaining_s: Time left before the deadline.
     """
-    connection_options = set()
-    for value in (v for n, v in req.headers if n == b"connection"):
-        connection_options.update(
-            part.strip().lower() for part in value.split(b",")
-        )
     lines = [b"%b %b HTTP/1.1" % (req.method, req.target)]
-    for name, value in req.headers:
-        if (
-            name in HOP_BY_HOP_HEADERS
-            or name in RESERVED_HEADERS
-            or name in connection_options
-        ):
-            continue
-        lines.append(b"%b: %b" % (name, value))
+    lines.extend(
+        b"%b: %b" % header
+        for header in end_to_end_headers(req)
+        if header[0] not in RESERVED_HEADERS
+    )
     remaining_ms = max(1, int(remaining_s * 1000))
     own_fields = {
         header_names.DEADLINE_MS: b"%d" % remaining_ms,
@@ -55,11 +49,38 @@
     if ctx.organisation is not None:
         own_fields[header_names.ORGANISATION] = ctx.organisation.name.encode()
     lines.extend(b"%b: %b" % item for item in own_fields.items())
+    lines.extend(framing(req, body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+
+
+def end_to_end_headers(
+    req: request_module.Request,
+) -> Iterator[tuple[bytes, bytes]]:
+    """Yields the headers that do not concern the caller's connection only."""
+    connection_options = set()
+    for value in (v for n, v in req.headers if n == b"connection"):
+        connection_options.update(
+            part.strip().lower() for part in value.split(b",")
+        )
+    for header in req.headers:
+        if (
+            header[0] not in HOP_BY_HOP_HEADERS
+            and header[0] not in connection_options
+        ):
+            yield header
+
+
+def framing(req: request_module.Request, body: bytes | None) -> Iterator[bytes]:
+    """Yields the header line that tells where the request's body ends.
+
+    Args:
+        req: The caller's request.
+        body: The whole body, None if it is streamed.
+    """
     if req.length is None:
         if body is None:
-            lines.append(b"transfer-encoding: chunked")
+            yield b"transfer-encoding: chunked"
         else:
-            lines.append(b"content-length: %d" % len(body))
+            yield b"content-length: %d" % len(body)
     elif req.length or req.get(b"content-length") is not None:
-        lines.append(b"content-length: %d" % req.length)
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+        yield b"content-length: %d" % req.length
--- a/src/bramleyworks/gateway/upstream_selector.py
+++ b/src/bramleyworks/gateway/upstream_selector.py
@@ -129,6 +129,30 @@
             return None, placement.Choice(None, wait_s + work_s, wait_s, work_s)
         return None, first_rejected
 
+    def is_unreachable(self, ctx: request_context.RequestContext) -> bool:
+        """Returns whether all upstreams for a request failed at this VM.
+
+        They are excluded here, and may serve other VMs.
+
+        Args:
+            ctx: Context of the request.
+        """
+        registry = self._cluster.registry
+        versions = self._cluster.eligible_versions(ctx.service)
+        regions = [
+            region
+            for region in registry.regions(ctx.service)
+            if not ctx.regions or region in ctx.regions
+        ]
+        return not any(
+            True
+            for region in regions
+            for _ in registry.usable_upstreams(ctx.service, region, versions)
+        ) and any(
+            registry.has_excluded(ctx.service, region, versions)
+            for region in regions
+        )
+
     def _limited_choice(
         self,
         limited: list[upstream_module.Upstream],
--- a/src/bramleyworks/operations/explanation.py
+++ b/src/bramleyworks/operations/explanation.py
@@ -113,7 +113,11 @@
 def _upstreams(state: dict | None, request: dict) -> tuple[UpstreamState, ...]:
     if state is None:
         return ()
-    tried = {attempt["upstream"] for attempt in request["tried"]}
+    tried = {
+        attempt["upstream"]
+        for attempt in request["tried"]
+        if "upstream" in attempt
+    }
     return tuple(
         UpstreamState(name, load, slowness, own, bool(excluded), bool(cold))
         for name, (load, slowness, own, excluded, cold) in sorted(
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -11,6 +11,7 @@
 from bramleyworks.gateway import cluster_state
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import instance
+from bramleyworks.gateway import isolation
 from bramleyworks.gateway import move_order
 from bramleyworks.gateway import request
 from bramleyworks.gateway import request_context
@@ -51,6 +52,7 @@
         attempt_runner = attempts.Attempts(
             cluster,
             traffic.Traffic("one", 0.15, clock),
+            isolation.Isolation(cluster, lambda: None, log, clock),
             lambda _: False,
             clock,
         )
@@ -157,6 +159,8 @@
         now_s + 0.3,
         frozenset(),
         1,
+        ROUTE.attempts,
+        False,
     )
     async with asyncio.timeout(deadline_s):
         await attempt_runner.run(
