Blame no request for upstreams that only this VM has lost

Change: an end counts if another upstream responds to this VM, or if no other VM has had a response for two heartbeats; else upstream.unreachable is logged. An end is withdrawn when the same start of the upstream has responded to another VM since, as with a cut of some upstreams only.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -151,6 +151,8 @@
             self._quarantine,
             settings.vm_id,
             self._cluster.registry,
+            self._isolation.probe,
+            self._peers.contact_age_s,
             self._known_vms,
             self._peers.request_send,
             log,
--- a/src/bramleyworks/policy/quarantine.py
+++ b/src/bramleyworks/policy/quarantine.py
@@ -122,6 +122,25 @@
         self._store(fingerprint, entry)
         return entry
 
+    def withdraw_end(self, fingerprint: str, upstream: int) -> None:
+        """Records that an upstream has not ended after all.
+
+        Args:
+            fingerprint: Identifies the request.
+            upstream: Identifies the upstream and its start.
+        """
+        known = self.get(fingerprint)
+        if known is None or upstream in known.cleared:
+            return
+        self._store(
+            fingerprint,
+            dataclasses.replace(
+                known,
+                cleared=known.cleared | {upstream},
+                changed_s=self._clock(),
+            ),
+        )
+
     def record_response(self, fingerprint: str) -> bool:
         """Clears a request that was served; returns whether it was blamed."""
         known = self.get(fingerprint)
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 
 import pytest
@@ -20,16 +21,35 @@
 
 
 @pytest.fixture
-def detector(known, tmp_path):
+def build_detector(known, tmp_path):
     with open(tmp_path / "log", "wb") as out:
-        yield crash_detector.CrashDetector(
-            quarantine.Quarantine(time.monotonic),
-            "vm1",
-            known,
-            lambda: (),
-            lambda: None,
-            event_log.EventLog("vm1", out.fileno()),
-        )
+
+        def build(probe_others, peer_contact_age_s):
+            return crash_detector.CrashDetector(
+                quarantine.Quarantine(time.monotonic),
+                "vm1",
+                known,
+                probe_others,
+                lambda: peer_contact_age_s,
+                lambda: (),
+                lambda: None,
+                event_log.EventLog("vm1", out.fileno()),
+            )
+
+        yield build
+
+
+@pytest.fixture
+def detector(build_detector):
+    return build_detector(_links_work, math.inf)
+
+
+async def _links_work():
+    return True
+
+
+async def _links_are_down():
+    return False
 
 
 def _register(known, port, is_draining=False, started_ms=1):
@@ -96,3 +116,26 @@
     upstream = _register(known, port)
     assert await _blame(detector, upstream) == 1
     assert not _register(known, port, started_ms=2).is_excluded
+
+
+@pytest.mark.parametrize(
+    ("peer_contact_age_s", "blame"), [(0.1, 0), (math.inf, 1)]
+)
+async def test_vm_that_is_cut_off_blames_no_request_for_ended_upstreams(
+    known, build_detector, peer_contact_age_s, blame
+):
+    cut_off = build_detector(_links_are_down, peer_contact_age_s)
+    upstream = _register(known, ports.free_port())
+    assert await _blame(cut_off, upstream) == blame
+    assert upstream.is_excluded == bool(blame)
+
+
+async def test_upstream_that_responds_to_another_vm_has_not_ended(
+    known, detector
+):
+    upstream = _register(known, ports.free_port())
+    detector.record_lost_connection(upstream, "f")
+    await asyncio.sleep(0.3)
+    upstream.record_peer_load(1, 0.05)
+    await asyncio.sleep(0.5)
+    assert detector.quarantine.get("f").blame == 0
