Judge no late response of a version while the VM has no contact

A response that is late counts against its version if the upstream has responded to anything since the request was sent. A link that fails in between makes the request late as well, so a VM that is cut off counts all requests in flight against both versions of a move.

Change: the VM must have had a response from some upstream while the request was overdue; otherwise a health check decides, as before.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -193,6 +193,7 @@
                     observation.watch(
                         upstream,
                         self._cluster.health_path(ctx.service),
+                        lambda: self._isolation.last_contact_s,
                         self._clock,
                     )
                 )
--- a/src/bramleyworks/gateway/isolation.py
+++ b/src/bramleyworks/gateway/isolation.py
@@ -53,6 +53,8 @@
 
     Attributes:
         is_isolated: Whether no upstream is reached.
+        last_contact_s: Monotonic time of the last response of any upstream in
+            seconds.
     """
 
     def __init__(
@@ -75,7 +77,7 @@
         self._notify_peers = notify_peers
         self._log = log
         self._clock = clock
-        self._last_contact_s = clock()
+        self.last_contact_s = clock()
         self._contacts: dict[str, float] = {}
         # Upstreams that failed since the last response of any.
         self._failed: set[str] = set()
@@ -107,7 +109,7 @@
 
     def record_contact(self, service: str) -> None:
         """Records a response of an upstream."""
-        self._last_contact_s = self._contacts[service] = self._clock()
+        self.last_contact_s = self._contacts[service] = self._clock()
         self._failed.clear()
         if self.is_isolated:
             self._end()
@@ -119,7 +121,7 @@
             upstream_id: Id of its upstream.
             started_s: Monotonic time of its start in seconds.
         """
-        if started_s >= self._last_contact_s:
+        if started_s >= self.last_contact_s:
             self._failed.add(upstream_id)
             self.check()
 
@@ -164,9 +166,9 @@
         failed = self._failed | {
             a.upstream_id
             for a in self._open
-            if a.overdue_s <= now_s and a.sent_s > self._last_contact_s
+            if a.overdue_s <= now_s and a.sent_s > self.last_contact_s
         }
-        quiet_s = now_s - self._last_contact_s
+        quiet_s = now_s - self.last_contact_s
         if self.is_isolated or isolation.is_suspect(len(failed), quiet_s):
             self._watch = asyncio.create_task(self._watch_links())
             self._watch.add_done_callback(self._forget_watch)
@@ -250,7 +252,7 @@
         self._log.write(
             "isolation.started",
             failed=len(self._failed),
-            quiet_s=round(self._clock() - self._last_contact_s, 3),
+            quiet_s=round(self._clock() - self.last_contact_s, 3),
             open=len(self._open),
         )
         self._notify_peers()
--- a/src/bramleyworks/gateway/version_evidence.py
+++ b/src/bramleyworks/gateway/version_evidence.py
@@ -60,16 +60,20 @@
         self,
         upstream: upstream_module.Upstream,
         health_path: str,
+        last_contact_s: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         """Judges the attempt when its response is late.
 
         Its deadline or its caller may end it before a response arrives. Only an
-        upstream that responds to something shows that its version is slow.
+        upstream that responds to something shows that its version is slow,
+        and only while this VM reaches upstreams at all.
 
         Args:
             upstream: The upstream of the attempt.
             health_path: Path of its health check.
+            last_contact_s: Returns the monotonic time in seconds at which any
+                upstream last responded to this VM.
             clock: Monotonic time in seconds.
         """
         if math.isinf(self._slow_after_s):
@@ -83,9 +87,11 @@
         if upstream.is_leaving or upstream.pause_s:
             # It wants no further request, not even a health check.
             return
-        if upstream.last_response_s > sent_s or await upstream.is_responsive(
-            health_path
-        ):
+        is_live = (
+            upstream.last_response_s > sent_s
+            and last_contact_s() > sent_s + overdue_after_s
+        )
+        if is_live or await upstream.is_responsive(health_path):
             self.record_lateness()
 
     def record_overdue(self) -> None:
--- a/tests/gateway/test_evidence.py
+++ b/tests/gateway/test_evidence.py
@@ -107,6 +107,22 @@
     assert report.counts == {"v2 stock": (0, 0)}
 
 
+async def test_cut_after_a_response_is_no_evidence_against_the_version(
+    cluster_and_runner,
+):
+    cluster, attempt_runner = cluster_and_runner
+    async with _silent_server() as port:
+        cut_off = _upstream(port)
+        sent = asyncio.create_task(_attempt(attempt_runner, cut_off, 0.8))
+        await asyncio.sleep(0.05)
+        cut_off.last_response_s = time.monotonic()
+        with pytest.raises(TimeoutError):
+            await sent
+        cut_off.close()
+    (report,) = cluster.report_moves().values()
+    assert report.counts == {"v2 stock": (0, 0)}
+
+
 async def test_caller_that_leaves_early_is_no_evidence(cluster_and_runner):
     cluster, attempt_runner = cluster_and_runner
     async with _silent_server() as port:
