Tell a VM that was cut off which upstreams leave

A VM that reaches no upstream passes responses of others on, with their Server-Leaving. Once its links are back it has to keep what it passed on: it may not send to such an upstream either (DRAIN).

Change: the VM that sent the request names the upstream in the response, and the first VM records it and removes the name.

Measured: the new test, where only the cut VM could send to the upstream that left, fails without the record and passes with it.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -10,6 +10,7 @@
 from bramleyworks.gateway import cluster_state
 from bramleyworks.gateway import forwarding
 from bramleyworks.gateway import isolation as isolation_module
+from bramleyworks.gateway import proxied_head
 from bramleyworks.gateway import reported_state
 from bramleyworks.gateway import request as request_module
 from bramleyworks.gateway import request_context
@@ -212,6 +213,10 @@
             self._record_latency(
                 ctx, upstream, choice, elapsed_s, upstream_res.status
             )
+            if ctx.is_proxied and upstream.is_leaving:
+                upstream_res.headers.append(
+                    proxied_head.encode_upstream(upstream.instance)
+                )
             return await forwarding.forward_response(
                 req, res, ctx, upstream_res, self._should_close, trace
             )
--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -113,6 +113,12 @@
                 service=upstream.instance.service,
             )
 
+    def record_leaving_by_id(self, upstream_id: str, started_ms: int) -> None:
+        """Records that one start of an upstream leaves, if it is known here."""
+        upstream = self.registry.get(upstream_id)
+        if upstream is not None and upstream.instance.started_ms == started_ms:
+            self.record_leaving(upstream)
+
     def record_pause(
         self, upstream: upstream_module.Upstream, pause_s: float
     ) -> None:
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -102,6 +102,7 @@
             region,
             proxy_peers,
             is_live_peer,
+            cluster.record_leaving_by_id,
             self._should_close,
             clock,
         )
--- a/src/bramleyworks/gateway/peer_proxy.py
+++ b/src/bramleyworks/gateway/peer_proxy.py
@@ -46,6 +46,7 @@
         region: str,
         candidates: Callable[[str], list[isolation.Peer]],
         is_live: Callable[[str], bool],
+        record_leaving: Callable[[str, int], None],
         should_close: Callable[[request_module.Request], bool],
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -57,6 +58,8 @@
             candidates: Returns the other VMs that accept callers, with their
                 reach for a service.
             is_live: Returns whether heartbeats of a VM arrive.
+            record_leaving: Records id and start, in Unix ms, of an upstream
+                whose response said that it leaves.
             should_close: Returns whether the caller's connection closes after
                 the response to a request.
             clock: Monotonic time in seconds.
@@ -65,6 +68,7 @@
         self._region = region
         self._candidates = candidates
         self._is_live = is_live
+        self._record_leaving = record_leaving
         self._should_close = should_close
         self._clock = clock
         self._idle: dict[str, list[upstream_conn.UpstreamConn]] = {}
@@ -174,6 +178,9 @@
                 sender = asyncio.create_task(forwarding.send_body(req, conn))
                 stack.callback(sender.cancel)
             await self._wait_head(proxied_res, peer)
+            leaving = proxied_head.take_upstream(proxied_res)
+            if leaving is not None:
+                self._record_leaving(*leaving)
             outcome = _check_response(proxied_res)
             if outcome is not None:
                 while await proxied_res.read():
--- a/src/bramleyworks/gateway/proxied_head.py
+++ b/src/bramleyworks/gateway/proxied_head.py
@@ -6,11 +6,15 @@
 
 import dataclasses
 
+from bramleyworks.gateway import instance
 from bramleyworks.gateway import request as request_module
 from bramleyworks.gateway import upstream_head
+from bramleyworks.gateway import upstream_response
 
 AGE_MS = b"x-proxied-age-ms"
 ATTEMPTS = b"x-proxied-attempts"
+# Id and start of the upstream of a response that says that it leaves.
+LEAVING_UPSTREAM = b"x-proxied-leaving-upstream"
 # A request that is older has no deadline to meet any more.
 MAX_AGE_S = 600.0
 _MAX_DIGITS = 6
@@ -65,3 +69,32 @@
     if age_s > MAX_AGE_S or attempts < 1:
         return None
     return ProxiedFields(age_s, attempts)
+
+
+def encode_upstream(upstream: instance.Instance) -> tuple[bytes, bytes]:
+    """Returns the header that names an upstream that leaves."""
+    return LEAVING_UPSTREAM, b"%b %d" % (
+        upstream.id.encode(),
+        upstream.started_ms,
+    )
+
+
+def take_upstream(
+    res: upstream_response.UpstreamResponse,
+) -> tuple[str, int] | None:
+    """Removes the upstream that leaves from a response of another VM.
+
+    Returns:
+        Its id and the Unix time of its start in milliseconds, None if the
+        response names none.
+    """
+    raw = res.get(LEAVING_UPSTREAM)
+    if raw is None:
+        return None
+    res.headers = [h for h in res.headers if h[0] != LEAVING_UPSTREAM]
+    name, _, started = raw.decode("latin-1").rpartition(" ")
+    return (
+        (name, int(started))
+        if started.isascii() and started.isdigit()
+        else None
+    )
--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -281,3 +281,28 @@
         with contextlib.suppress(ConnectionError):
             assert await reader.read() == b""
         writer.close()
+
+
+async def test_leaving_upstream_gets_nothing_from_a_vm_that_was_cut_off(
+    tmp_path,
+):
+    async with _small_fleet(tmp_path) as (fleet, gate):
+        vm = fleet.vms[0]
+        await _isolate(fleet, gate, [vm])
+        gate.leaving = {"u1"}
+
+        async def is_told():
+            _, headers, _, _ = await fleet.send_request(vm)
+            return "Server-Leaving" in headers
+
+        await fleet.wait_until(is_told, "a response of u1")
+        # Other VMs stop sending to it, so that only this one can.
+        gate.leaving = set()
+        gate.set_mode([vm], gated_upstream.OPEN, fleet.upstreams)
+        await asyncio.sleep(RECOVERY_S)
+        sent = await asyncio.gather(
+            *(fleet.send_request(vm) for _ in range(24))
+        )
+        ids = {request_id for _, _, _, request_id in sent}
+        names = {name for request_id, name, _ in gate.runs if request_id in ids}
+        assert names == {"u2", "u3", "u4"}
--- a/tests/support/gated_upstream.py
+++ b/tests/support/gated_upstream.py
@@ -29,6 +29,7 @@
         health_checks: Health checks that were answered.
         cancelled: Requests whose VM disconnected before the response.
         work_s: Seconds for which each request runs.
+        leaving: Names of upstreams that say that they leave.
     """
 
     def __init__(self):
@@ -36,6 +37,7 @@
         self.health_checks = 0
         self.cancelled = 0
         self.work_s = WORK_S
+        self.leaving = set()
         self._modes = {}
         self._opened = {}
         self._writers = {}
@@ -168,13 +170,16 @@
             raise ConnectionError
         seal = hashlib.sha256(request_id.encode()).hexdigest()[:12]
         body = f"{self.name} {request_id}".encode()
+        leaving = (
+            "Server-Leaving: 1\r\n" if self.name in self._gate.leaving else ""
+        )
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\n"
                 f"X-Bramleyworks-Attempt-Id: {request_id}\r\n"
                 f"X-Bramleyworks-Response-Seal: {seal}\r\n"
                 f"X-Bramleyworks-Server-Load: {self._running},0,{SLOTS}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n"
+                f"{leaving}Content-Length: {len(body)}\r\n\r\n"
             ).encode()
             + body
         )
