Read odd entries of the store as no entries

A nested entry raised RecursionError in the task that follows the store, which ended and was started again, and the entries behind it were not read. Ports of 70000, 0 and -1, ports in digits of other scripts, endless cold starts and huge slots were accepted, and requests sent to them. A VM that restarts beside such entries knows no load or failure of any: requests end at two of them, refused, until each entry has failed three times.

Change: one function decodes JSON of the store; numbers, ports, ids and texts of upstreams, moves and VMs are checked where they are decoded. Deeply nested messages of other VMs and deadlines that are no numbers are refused as well.

--- a/src/bramleyworks/gateway/admission.py
+++ b/src/bramleyworks/gateway/admission.py
@@ -1,5 +1,6 @@
 """Admission control: routing, authentication, quotas and deadlines."""
 
+import math
 from collections.abc import Callable
 
 import httptools
@@ -147,11 +148,12 @@
         if text is None:
             return req.received_s + route.timeout_s
         try:
-            return req.received_s + float(text) / 1000
+            millis = float(text)
         except ValueError:
-            raise refused.RefusedError(
-                400, "the deadline is no number"
-            ) from None
+            millis = math.nan
+        if not math.isfinite(millis):
+            raise refused.RefusedError(400, "the deadline is no number")
+        return req.received_s + millis / 1000
 
     def _choose_service(self, route: route_module.Route) -> str:
         if len(route.services) == 1:
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -207,7 +207,7 @@
                 data, type=heartbeat_module.Heartbeat
             )
             heartbeat.check()
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, RecursionError, ValueError) as exc:
             logging.warning("malformed heartbeat from %s: %s", addr[0], exc)
             return
         if heartbeat.vm.id == self._own.id:
--- a/src/bramleyworks/gateway/replica_update.py
+++ b/src/bramleyworks/gateway/replica_update.py
@@ -100,7 +100,7 @@
         update = msgspec.msgpack.decode(
             zlib.decompress(raw), type=ReplicaUpdate
         )
-    except (msgspec.DecodeError, zlib.error) as exc:
+    except (msgspec.DecodeError, RecursionError, zlib.error) as exc:
         return result.Err(errors.MessageError("copy.decode", peer, str(exc)))
     if update.position <= replica.position and not (
         update.is_full and update.era == replica.position.era
--- a/src/bramleyworks/gateway/vm.py
+++ b/src/bramleyworks/gateway/vm.py
@@ -46,7 +46,8 @@
     """
     host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
-    number = int(port)
+    # Digits of other scripts are digits to ``int`` too.
+    number = int(port) if port.isascii() and port.isdigit() else 0
     if not 0 < number < 2**16:
-        raise ValueError(f"port {number} is out of range")
+        raise ValueError(f"{port!r:.40} is no port")
     return host, number
--- a/src/bramleyworks/platform/wire_config.py
+++ b/src/bramleyworks/platform/wire_config.py
@@ -1,6 +1,5 @@
 """Decodes the operators' configuration."""
 
-import msgspec
 import result
 
 from bramleyworks import errors
@@ -9,6 +8,7 @@
 from bramleyworks.gateway import organisation
 from bramleyworks.gateway import route
 from bramleyworks.gateway import service
+from bramleyworks.platform import wire_json
 
 # Timeout of a route that sets none: the longest deadline of the callers on the
 # request sheets.
@@ -22,22 +22,17 @@
     Raises:
         ValueError: The text is not a version.
     """
-    if not text.startswith("r"):
-        raise ValueError(f"version {text!r} does not start with r")
-    return int(text[1:])
+    digits = text.removeprefix("r")
+    if digits == text or not (digits.isascii() and digits.isdigit()):
+        raise ValueError(f"version {text!r:.40} is not r and a number")
+    return int(digits)
 
 
 def read_version(raw: bytes) -> int | None:
     """Returns the version of a configuration, None if it is unreadable."""
     try:
-        return version_number(msgspec.json.decode(raw)["version"])
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        ValueError,
-        TypeError,
-        AttributeError,
-    ):
+        return version_number(wire_json.decode(raw)["version"])
+    except wire_json.FIELD_ERRORS:
         # Logged where the configuration is decoded.
         return None
 
@@ -52,11 +47,11 @@
         peer: Source of the text, for errors.
     """
     try:
-        body = msgspec.json.decode(raw)
+        body = wire_json.decode(raw)
         return result.Ok(_config(body))
     except KeyError as exc:
         reason = f"field {exc.args[0]} is missing"
-    except (msgspec.DecodeError, ValueError, TypeError, AttributeError) as exc:
+    except wire_json.FIELD_ERRORS as exc:
         reason = str(exc)
     return result.Err(errors.DocumentError("config.decode", peer, reason))
 
@@ -106,7 +101,7 @@
 def _organisation(item: dict) -> organisation.Organisation:
     priority = item.get("priority")
     return organisation.Organisation(
-        name=item["name"],
+        name=wire_json.check_text(item["name"]),
         keys=tuple(item.get("api_keys") or ()),
         priority=int(priority) if priority is not None else None,
         rate_per_s=float(item.get("rate_per_s") or 0),
--- a/src/bramleyworks/platform/wire_move.py
+++ b/src/bramleyworks/platform/wire_move.py
@@ -6,6 +6,10 @@
 from bramleyworks import errors
 from bramleyworks.gateway import move_order
 from bramleyworks.gateway import move_state
+from bramleyworks.platform import wire_json
+
+# A move that is to take longer is a mistake.
+MAX_DURATION_S = 30 * 86_400
 
 
 def decode_order(
@@ -13,15 +17,17 @@
 ) -> result.Result[move_order.MoveOrder, errors.DocumentError]:
     """Decodes an operator's order."""
     try:
-        body = msgspec.json.decode(raw)
+        body = wire_json.decode(raw)
         return result.Ok(
             move_order.MoveOrder(
-                service=body["service"],
-                to_version=body["to_version"],
-                duration_s=float(body["over_s"]),
+                service=wire_json.check_text(body["service"]),
+                to_version=wire_json.check_text(body["to_version"]),
+                duration_s=float(
+                    wire_json.check_number(body["over_s"], 0, MAX_DURATION_S)
+                ),
             )
         )
-    except (msgspec.DecodeError, KeyError, ValueError, TypeError) as exc:
+    except wire_json.FIELD_ERRORS as exc:
         return result.Err(
             errors.DocumentError("rollout.decode", "store", repr(exc))
         )
@@ -32,14 +38,14 @@
 ) -> result.Result[move_state.MoveState, errors.DocumentError]:
     """Decodes the recorded state of a move."""
     try:
-        body = msgspec.json.decode(raw)
+        body = wire_json.decode(raw)
         return result.Ok(
             move_state.MoveState(
-                to_version=body["to_version"],
+                to_version=wire_json.check_text(body["to_version"]),
                 phase=move_state.MovePhase(body["state"]),
             )
         )
-    except (msgspec.DecodeError, KeyError, ValueError, TypeError) as exc:
+    except wire_json.FIELD_ERRORS as exc:
         return result.Err(
             errors.DocumentError("rollout_state.decode", "store", repr(exc))
         )
--- a/src/bramleyworks/platform/wire_updates.py
+++ b/src/bramleyworks/platform/wire_updates.py
@@ -8,6 +8,7 @@
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import store_keys
 from bramleyworks.platform import wire_config
+from bramleyworks.platform import wire_json
 from bramleyworks.platform import wire_move
 from bramleyworks.platform import wire_upstream
 
@@ -75,7 +76,7 @@
 
 def _vm_start(raw: bytes) -> int | None:
     try:
-        return msgspec.json.decode(raw, type=vm.Vm).incarnation
+        return wire_json.decode(raw, vm.Vm).incarnation
     except msgspec.DecodeError:
         # Logged where the registration is decoded.
         return None
@@ -123,8 +124,10 @@
     if item.value is None:
         return None
     try:
-        entry = msgspec.json.decode(item.value, type=vm.Vm)
+        entry = wire_json.decode(item.value, vm.Vm)
         entry.check()
+        if entry.id != item.key.removeprefix(store_keys.VMS):
+            raise ValueError(f"the entry is of another VM, {entry.id!r:.40}")
     except (msgspec.DecodeError, ValueError) as exc:
         logging.warning("%s: %s", item.key, exc)
         return None
--- a/src/bramleyworks/platform/wire_upstream.py
+++ b/src/bramleyworks/platform/wire_upstream.py
@@ -1,14 +1,20 @@
 """Decodes the registrations of upstreams."""
 
-import ipaddress
-
 import msgspec
 import result
 
 from bramleyworks import errors
 from bramleyworks.gateway import instance
+from bramleyworks.gateway import vm
+from bramleyworks.platform import wire_json
 
 STATES = ("ready", "draining")
+# An upstream with more slots, or a longer cold start, is a mistake.
+MAX_SLOTS = 10_000
+MAX_COLD_LEFT_MS = 3_600_000
+# Unix ms of the start of an upstream; 2^53 is the largest integer that all JSON
+# codecs keep.
+MAX_STARTED_MS = 2**53
 
 
 def decode(
@@ -21,14 +27,14 @@
         raw: JSON text.
     """
     try:
-        body = msgspec.json.decode(raw)
-        return result.Ok(_instance(instance_id, body))
+        body = wire_json.decode(raw, dict)
+        return result.Ok(_instance(wire_json.check_name(instance_id), body))
     except KeyError as exc:
         reason = f"field {exc.args[0]} is missing"
-    except (msgspec.DecodeError, ValueError, TypeError, AttributeError) as exc:
+    except wire_json.FIELD_ERRORS as exc:
         reason = str(exc)
     return result.Err(
-        errors.DocumentError("upstream.decode", instance_id, reason)
+        errors.DocumentError("upstream.decode", repr(instance_id), reason)
     )
 
 
@@ -42,7 +48,7 @@
         The time of its start in Unix ms, and the number of the report since.
     """
     try:
-        body = msgspec.json.decode(raw, type=dict)
+        body = wire_json.decode(raw, dict)
     except msgspec.DecodeError:
         # Logged where the registration is decoded.
         return None
@@ -53,34 +59,30 @@
 
 
 def _instance(instance_id: str, body: dict) -> instance.Instance:
-    host, _, port = _string(body, "addr").rpartition(":")
-    ipaddress.ip_address(host)
-    state = _string(body, "state")
+    host, port = vm.split_address(wire_json.check_text(body["addr"]))
+    state = wire_json.check_text(body["state"])
     if state not in STATES:
         raise ValueError(f"state {state!r} is unknown")
-    slots = body["slots"]
-    if type(slots) is not int or slots < 1:
-        raise ValueError("slots must be a positive integer")
-    cold_left_ms = body.get("cold_left_ms") or 0
-    if not isinstance(cold_left_ms, int | float):
-        raise ValueError("cold_left_ms must be a number")
-    started_ms = body.get("born") or 0
+    slots = wire_json.check_number(body["slots"], 1, MAX_SLOTS)
+    if not isinstance(slots, int):
+        raise ValueError("slots must be an integer")
+    cold_left_ms = wire_json.check_number(
+        body.get("cold_left_ms") or 0, -MAX_COLD_LEFT_MS, MAX_COLD_LEFT_MS
+    )
+    started_ms = wire_json.check_number(
+        body.get("born") or 0, 0, MAX_STARTED_MS
+    )
+    if not isinstance(started_ms, int):
+        raise ValueError("born must be an integer")
     return instance.Instance(
         id=instance_id,
-        service=_string(body, "service"),
+        service=wire_json.check_text(body["service"]),
         host=host,
-        port=int(port),
-        failure_domain=_string(body, "zone"),
-        version=_string(body, "version"),
+        port=port,
+        failure_domain=wire_json.check_text(body["zone"]),
+        version=wire_json.check_text(body["version"]),
         slots=slots,
         is_draining=state == "draining",
         cold_left_s=cold_left_ms / 1000,
-        started_ms=started_ms if type(started_ms) is int else 0,
+        started_ms=started_ms,
     )
-
-
-def _string(body: dict, name: str) -> str:
-    value = body[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} must be a non-empty string")
-    return value
--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -63,6 +63,52 @@
             assert (await fleet.send_request(fleet.vms[0]))[0] == 200
 
 
+ODD_ENTRIES = {
+    "port": {"addr": "127.0.0.1:70000"},
+    "no-port": {"addr": "127.0.0.1:0"},
+    "negative": {"addr": "127.0.0.1:-1"},
+    "script": {"addr": "127.0.0.1:\u0668\u0660\u0668\u0660"},
+    "cold": {"cold_left_ms": 1e308},
+    "born": {"born": 2**70},
+    "slots": {"slots": 10**30},
+    "name\r\nX-Else: 1": {},
+}
+
+
+async def test_odd_registrations_harm_neither_requests_nor_restarts(tmp_path):
+    async with platform_fleet.small_fleet(tmp_path, vms=2) as fleet:
+        valid = {
+            "service": "desk",
+            "addr": "127.0.0.1:9",
+            "zone": "one-a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "seq": 1,
+        }
+        nested = []
+        for _ in range(900):
+            nested = [nested]
+        entries = {f"servers/{n}": valid | f for n, f in ODD_ENTRIES.items()}
+        entries |= {
+            "servers/deep": nested,
+            "servers/zone": valid | {"zone": nested},
+        }
+        await fleet.write_store(entries)
+        # A good entry is replaced by an odd one, and comes back.
+        await fleet.write_store({"servers/u2": nested})
+        await fleet.wait_for_upstreams(fleet.vms[0], 1)
+        await fleet.register("u2")
+        first, second = fleet.vms
+        first.process.kill()
+        await fleet.restart(first)
+        for vm in fleet.vms:
+            await fleet.wait_for_upstreams(vm, 2)
+            statuses = [(await fleet.send_request(vm))[0] for _ in range(30)]
+            assert statuses == [200] * 30
+            assert not [e for e in vm.events() if e["event"] == "task.failed"]
+
+
 async def test_draining_upstream_gets_no_new_request(tmp_path):
     async with platform_fleet.small_fleet(tmp_path) as fleet:
         await fleet.register("u1", state="draining")
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -36,9 +36,24 @@
     )
 
 
+def _nested_heartbeat(peer):
+    """Returns a heartbeat with one more field, of lists within lists."""
+    raw = _heartbeat(peer)
+    array_header, count = raw[:1], int.from_bytes(raw[1:3], "big")
+    one_item_list = b"\x91"
+    return (
+        array_header
+        + (count + 1).to_bytes(2, "big")
+        + raw[3:]
+        + one_item_list * 1000
+        + b"\xc0"
+    )
+
+
 MESSAGES = {
     "no message": b"\xc1\xff\x00",
     "empty": b"",
+    "deeply nested": _nested_heartbeat("127.0.0.1:9"),
     "address without port": _heartbeat("nowhere"),
     "port out of range": _heartbeat("127.0.0.1:99999999"),
     "no address": _heartbeat(""),
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -7,9 +7,11 @@
 
 from bramleyworks.gateway import gateway_config
 from bramleyworks.gateway import store_updates
+from bramleyworks.gateway import vm
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import wire_config
 from bramleyworks.platform import wire_decimal
+from bramleyworks.platform import wire_move
 from bramleyworks.platform import wire_updates
 from bramleyworks.platform import wire_upstream
 
@@ -105,6 +107,19 @@
         {"state": "dreaming"},
         {"cold_left_ms": "soon"},
         {"version": ["v1"]},
+        {"addr": "10.0.0.9:70000"},
+        {"addr": "10.0.0.9:0"},
+        {"addr": "10.0.0.9:-1"},
+        {"addr": "10.0.0.9:\u0668\u0660"},
+        {"addr": "[::1]:80"},
+        {"slots": 10**30},
+        {"cold_left_ms": 1e308},
+        {"cold_left_ms": True},
+        {"born": 2**70},
+        {"born": -1},
+        {"born": 1.5},
+        {"service": "desk\r\nX-Else: 1"},
+        {"version": "\ud800"},
     ],
 )
 def test_invalid_registrations_are_rejected(changes):
@@ -112,7 +127,59 @@
     assert wire_upstream.decode("u1", raw).is_err()
 
 
-@pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"[]", b"7", b"null"])
+DEEP = 100_000
+NESTED = [
+    b"[" * DEEP + b"]" * DEEP,
+    b'{"a":' * DEEP + b"1" + b"}" * DEEP,
+    b'{"service":"desk","zone":' + b"[" * DEEP + b"]" * DEEP + b"}",
+]
+
+
+@pytest.mark.parametrize(
+    "name", ["", "u 1", "u1\r\nX-Else: 1", "\u0668", "u" * 201]
+)
+def test_registrations_with_odd_names_are_rejected(name):
+    assert wire_upstream.decode(name, json.dumps(ENTRY).encode()).is_err()
+
+
+def test_registration_of_another_vm_is_rejected():
+    raw = wire_updates.encode_vm(
+        vm.Vm(
+            "vm2", 1, "one", "one-a", "10.0.0.9:1", "10.0.0.9:2", "10.0.0.9:3"
+        )
+    )
+    assert wire_updates.decode(kv_item.KvItem("bw/vm/vm2", raw, 5)).vm
+    assert wire_updates.decode(kv_item.KvItem("bw/vm/vm1", raw, 5)).vm is None
+
+
+@pytest.mark.parametrize("over_s", ["nan", -1, True, 1e308, [], None])
+def test_move_orders_with_odd_durations_are_rejected(over_s):
+    body = {"service": "desk", "to_version": "v2", "over_s": over_s}
+    assert wire_move.decode_order(json.dumps(body).encode()).is_err()
+
+
+@pytest.mark.parametrize("raw", NESTED)
+@pytest.mark.parametrize(
+    "key",
+    [
+        "op/config",
+        "op/rollout/desk",
+        "op/evacuate/one-a",
+        "servers/u1",
+        "status/rollout/desk",
+        "bw/vm/vm1",
+    ],
+)
+def test_deeply_nested_items_are_ignored(key, raw):
+    """Guards against one odd item that ends the sync with the store."""
+    item = kv_item.KvItem(key, raw, 5)
+    wire_updates.decode(item)
+    assert wire_updates.compare(raw, item) is None
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"\xff\xfe", b"[]", b"7", b"null", *NESTED]
+)
 def test_malformed_items_decode_to_no_upstream_and_no_config(raw):
     item = kv_item.KvItem("servers/u1", raw, 5)
     assert wire_updates.decode(item) == store_updates.InstanceUpdate(
