Ask more upstreams before a VM counts as cut off

A VM that restarted beside entries of upstreams that did not exist probed four of them, and took itself for cut off 16 ms after another upstream had responded. Several upstreams may be down at once.

Change: upstreams that responded last are asked first, one of each failure domain before others, and eight more before the VM counts as cut off.

Measured: the new test fails without the second group (1 failed, 4 passed) and passes with it (5 passed).

--- a/src/bramleyworks/gateway/isolation.py
+++ b/src/bramleyworks/gateway/isolation.py
@@ -15,6 +15,9 @@
 
 # Upstreams that are probed in one round.
 PROBES_PER_ROUND = 4
+# Upstreams that are probed besides if none of the first ones responds. Several
+# upstreams may be down at once.
+SECOND_PROBES = 8
 # A probe waits for a slot like any request.
 PROBE_TIMEOUT_S = 0.5
 # Shortest time from the end of a round without a response to the next one.
@@ -210,11 +213,26 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def _run_round(self) -> bool | None:
-        chosen = self._choose_probed()
-        if not chosen:
+        """Probes a few upstreams; more before the VM counts as isolated."""
+        ranked = self._rank_probed()
+        if not ranked:
             return None
+        if self.is_isolated:
+            start = self._next_probe % len(ranked)
+            self._next_probe += PROBES_PER_ROUND
+            turned = ranked[start:] + ranked[:start]
+            return await self._any_responds(turned[:PROBES_PER_ROUND])
+        return await self._any_responds(
+            ranked[:PROBES_PER_ROUND]
+        ) or await self._any_responds(
+            ranked[PROBES_PER_ROUND : PROBES_PER_ROUND + SECOND_PROBES]
+        )
+
+    async def _any_responds(
+        self, upstreams: list[upstream_module.Upstream]
+    ) -> bool:
         async with contextlib.AsyncExitStack() as stack:
-            tasks = {asyncio.create_task(self._probe(u)) for u in chosen}
+            tasks = {asyncio.create_task(self._probe(u)) for u in upstreams}
             for task in tasks:
                 stack.callback(task.cancel)
             for finished in asyncio.as_completed(tasks):
@@ -230,23 +248,20 @@
             self.record_contact(upstream.instance.service)
         return is_up
 
-    def _choose_probed(self) -> list[upstream_module.Upstream]:
-        """Returns upstreams of different failure domains, by turns."""
-        askable = sorted(
+    def _rank_probed(self) -> list[upstream_module.Upstream]:
+        """Returns the upstreams to ask, the likeliest to respond first.
+
+        One of each failure domain comes before the others.
+        """
+        ranked = sorted(
             (u for u in self._cluster.registry.all() if u.may_be_probed),
-            key=lambda u: (u.load() / u.instance.slots, u.instance.id),
+            key=lambda u: (u.health.excluded, -u.last_response_s),
         )
-        if not askable:
-            return []
-        start = self._next_probe % len(askable)
-        self._next_probe += PROBES_PER_ROUND
-        turned = askable[start:] + askable[:start]
         by_domain: dict[str, upstream_module.Upstream] = {}
-        for upstream in turned:
+        for upstream in ranked:
             by_domain.setdefault(upstream.instance.failure_domain, upstream)
         first = list(by_domain.values())
-        rest = [u for u in turned if u not in first]
-        return (first + rest)[:PROBES_PER_ROUND]
+        return first + [u for u in ranked if u not in first]
 
     def _begin(self) -> None:
         self.is_isolated = True
--- a/tests/gateway/test_isolation_probes.py
+++ b/tests/gateway/test_isolation_probes.py
@@ -70,3 +70,22 @@
         assert await detector.probe()
         assert upstream.may_be_probed == may_be_probed
         upstream.close()
+
+
+async def test_vm_that_reaches_one_of_many_upstreams_is_not_isolated(
+    cluster_and_isolation,
+):
+    """Guards against taking upstreams that are down for links that are."""
+    cluster, detector = cluster_and_isolation
+    async with _server(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") as port:
+        for number in range(6):
+            _register(cluster, f"down{number}", ports.free_port())
+        live = _register(cluster, "u1", port)
+        for number in range(6, 11):
+            _register(cluster, f"down{number}", ports.free_port())
+        for number in range(11):
+            detector.record_failure(f"down{number}", time.monotonic())
+        await asyncio.sleep(0.2)
+        assert not detector.is_isolated
+        detector.close()
+        live.close()
