Count responses that arrive during the probes

Change: a round of probes without a response counts only if no other response has come since its start.

Measured: the new test fails without the change (1 failed, 5 passed), 6 pass.

--- a/src/bramleyworks/gateway/isolation.py
+++ b/src/bramleyworks/gateway/isolation.py
@@ -203,8 +203,9 @@
     async def _watch_links(self) -> None:
         """Probes until an upstream responds."""
         while True:
+            started_s = self._clock()
             has_response = await self.probe()
-            if has_response is None or has_response:
+            if has_response is not False or self.last_contact_s > started_s:
                 if self.is_isolated:
                     self._end()
                 return
--- a/tests/gateway/test_isolation_probes.py
+++ b/tests/gateway/test_isolation_probes.py
@@ -89,3 +89,21 @@
         assert not detector.is_isolated
         detector.close()
         live.close()
+
+
+async def test_response_during_the_probes_shows_that_the_links_work(
+    cluster_and_isolation,
+):
+    """Guards against a VM that is cut off from most upstreams only."""
+    cluster, detector = cluster_and_isolation
+    async with _server(b"") as port:
+        silent = _register(cluster, "u1", port)
+        for name in ("u1", "u2"):
+            detector.record_failure(name, time.monotonic())
+        await asyncio.sleep(isolation.PROBE_TIMEOUT_S / 2)
+        # An upstream that was not probed responds to a request.
+        detector.record_contact("desk")
+        await asyncio.sleep(isolation.PROBE_TIMEOUT_S)
+        assert not detector.is_isolated
+        detector.close()
+        silent.close()
