Choose peers by configuration, and test decisions of cut VMs

A request that is passed on to a VM with an older configuration would be handled as only that allows, although the first VM has a newer one in force.

Change: peers must have at least the configuration of the VM that passes the request on. Unit tests of the choice of peers, of look-ups and of what VMs know of each other in small and large fleets.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -166,7 +166,7 @@
             self._budget,
             self._crashes,
             self._isolation,
-            self._peers.proxy_peers,
+            self._proxy_peers,
             self._peers.is_live,
             settings.ip,
             self._known_vm_count,
@@ -463,6 +463,10 @@
             idle_timeout_s=PEER_IDLE_TIMEOUT_S,
         )
 
+    def _proxy_peers(self, service: str) -> list[isolation_policy.Peer]:
+        """Returns the VMs that may send requests to a service for this one."""
+        return self._peers.proxy_peers(service, self._config_version())
+
     def _reach(self) -> dict[str, isolation_policy.Reach]:
         """Returns whether this VM and its peers reach upstreams, by id."""
         ages = self._isolation.contact_ages()
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -321,12 +321,19 @@
                 )
         return found
 
-    def proxy_peers(self, service: str) -> list[isolation.Peer]:
-        """Returns the ready peers with their reach for a service."""
+    def proxy_peers(self, service: str, config: int) -> list[isolation.Peer]:
+        """Returns the ready peers with their reach for a service.
+
+        Args:
+            service: Name of the service.
+            config: Version of the configuration that they need at least.
+        """
         addresses = {vm.id: vm.peer for vm in self._registered().values()}
         found = []
         for received in self._live():
             heartbeat = received.heartbeat
+            if heartbeat.config < config:
+                continue
             age_s = self._contact_age_s(received, service)
             cut_off = set(heartbeat.cut_off)
             if heartbeat.covered_vms:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -4,11 +4,13 @@
 import itertools
 
 import msgspec
+import pytest
 
 from bramleyworks.gateway import heartbeat
 from bramleyworks.gateway import peers
 from bramleyworks.gateway import registry
 from bramleyworks.gateway import vm
+from bramleyworks.policy import isolation
 from bramleyworks.policy import quarantine
 
 
@@ -40,6 +42,8 @@
                     (link_mbps or {}).get(name, 10.0),
                 )
         self.down = set()
+        self.cut_off = set()
+        self.configs = {}
         for name in self.vms:
             self.start(name)
 
@@ -70,6 +74,9 @@
             self.usage(own.id, number),
             {},
             {},
+            config=self.configs.get(own.id, 3),
+            cut_off=[own.id] if own.id in self.cut_off else [],
+            contacts={} if own.id in self.cut_off else {"desk": 10},
         )
 
     def run_rounds(self, count=1):
@@ -245,3 +252,52 @@
     old = network.build_heartbeat(network.vms["a-1"], 1)
     node.datagram_received(msgspec.msgpack.encode(old), ("a-1", 2))
     assert node.direct_heartbeats() == [known]
+
+
+def _reaching(node):
+    return {
+        name
+        for name, reach in node.reach().items()
+        if reach is isolation.Reach.CONTACT
+    }
+
+
+@pytest.mark.parametrize("size", [3, 20])
+def test_vms_that_are_cut_off_are_known_in_all_regions(size):
+    network = FakeNetwork({"one": size, "two": size})
+    network.cut_off = {"one-1", "two-2"}
+    network.run_rounds(12)
+    for name, node in network.nodes.items():
+        others = network.vms.keys() - {name}
+        assert _reaching(node) == others - network.cut_off
+        assert all(
+            node.reach()[cut] is isolation.Reach.NONE
+            for cut in network.cut_off - {name}
+        )
+
+
+@pytest.mark.parametrize("size", [3, 20])
+def test_peers_that_stand_in_have_contact_and_the_configuration(size):
+    network = FakeNetwork({"one": size, "two": size})
+    network.cut_off = {"one-1"}
+    network.configs = {"one-2": 2}
+    network.run_rounds(12)
+    found = network.nodes["one-0"].proxy_peers("desk", 3)
+    reaching = {p.id for p in found if p.reach is isolation.Reach.CONTACT}
+    assert reaching == network.vms.keys() - {"one-0", "one-1", "one-2"}
+    assert {p.address for p in found} <= {v.peer for v in network.vms.values()}
+    unknown = network.nodes["one-0"].proxy_peers("gate", 3)
+    assert {p.reach for p in unknown if p.id != "one-1"} == {
+        isolation.Reach.UNKNOWN
+    }
+
+
+def test_contact_of_a_vm_that_fell_silent_grows_old():
+    network = FakeNetwork({"one": 2})
+    network.run_rounds(4)
+    node = network.nodes["one-0"]
+    assert node.contact_age_s() < 1.0
+    network.down.add("one-1")
+    network.now_s += 3.0
+    assert node.contact_age_s() > 1e9
+    assert not node.proxy_peers("desk", 0)
