--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -530,7 +530,9 @@
         self, req: request_module.Request, trace: trace_module.Trace
     ) -> None:
         elapsed_s = self._clock() - req.received_s
-        self._record_response(trace.route, trace.status, elapsed_s)
+        # The VM of the caller counts a proxied request under its own route.
+        label = f"proxied {trace.route}" if trace.is_proxied else trace.route
+        self._record_response(label, trace.status, elapsed_s)
         config = self._cluster.config
         self._log.write(
             "request",
