Probe upstreams that respond to other VMs but not to this one

With a cut of some upstreams only a VM excludes these, and the wait between half-open probes, each a caller's request, doubles to 16 s. After the cut they stayed unused for that long, although other VMs had responses from them.

Change: an upstream whose last failure brought nothing back (no connection, or silence), and that has responded to another VM within a second, gets a health check each second and is readmitted when it responds. One that fails requests or resets connections, or that answers nobody, is left to half-open probes.

--- a/src/bramleyworks/gateway/attempts.py
+++ b/src/bramleyworks/gateway/attempts.py
@@ -33,16 +33,14 @@
 # Time before a request's deadline at which a missing response is judged. It is
 # enough for a health check.
 JUDGEMENT_MARGIN_S = 0.3
-# Steps of errors that may be due to the link instead of the upstream.
+# Steps of errors where nothing came back, and of all errors that may be due to
+# the link instead of the upstream.
 SILENCE_STEP = "upstream.silence"
-LINK_FAILURE_STEPS = frozenset(
-    (
-        upstream_module.CONNECT_STEP,
-        upstream_conn.CONNECTION_LOST_STEP,
-        SILENCE_STEP,
-        isolation_module.ISOLATED_STEP,
-    )
-)
+SILENT_STEPS = frozenset((upstream_module.CONNECT_STEP, SILENCE_STEP))
+LINK_FAILURE_STEPS = SILENT_STEPS | {
+    upstream_conn.CONNECTION_LOST_STEP,
+    isolation_module.ISOLATED_STEP,
+}
 
 
 class Attempts:
@@ -131,7 +129,9 @@
             if is_link_failure:
                 self._isolation.record_failure(upstream.instance.id, start_s)
             if not self._isolation.is_isolated:
-                upstream.record_outcome(True, is_half_open)
+                upstream.record_outcome(
+                    True, is_half_open, exc.step in SILENT_STEPS
+                )
         except asyncio.CancelledError:
             now_s = self._clock()
             # A host or a proxy accepts connections for a server that is silent.
@@ -140,7 +140,7 @@
                 < start_s
                 < now_s - MIN_SILENCE_TIMEOUT_S
             ) and not self._isolation.is_isolated:
-                upstream.record_outcome(True, is_half_open)
+                upstream.record_outcome(True, is_half_open, is_silent=True)
             raise
         else:
             if outcome.result is not attempt_outcome.AttemptResult.NOT_RUN:
--- a/src/bramleyworks/gateway/isolation.py
+++ b/src/bramleyworks/gateway/isolation.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -26,6 +27,8 @@
 # until the rest is left to half-open probes.
 RECOVERY_PROBES = 4
 RECOVERY_ROUNDS = 5
+# Interval at which upstreams are probed that respond to other VMs only.
+SILENT_PROBE_INTERVAL_S = 1.0
 # Step of errors of attempts that were given up because of isolation.
 ISOLATED_STEP = "upstream.isolated"
 
@@ -90,7 +93,9 @@
         self._round: asyncio.Task[bool | None] | None = None
         self._watch: asyncio.Task | None = None
         self._recovery: asyncio.Task | None = None
+        self._silent_round: asyncio.Task | None = None
         self._next_probe = 0
+        self._silent_probed_s = clock()
 
     @property
     def is_settled(self) -> bool:
@@ -99,7 +104,12 @@
 
     def close(self) -> None:
         """Cancels all probes."""
-        for task in (self._round, self._watch, self._recovery):
+        for task in (
+            self._round,
+            self._watch,
+            self._recovery,
+            self._silent_round,
+        ):
             if task is not None:
                 task.cancel()
 
@@ -167,6 +177,8 @@
             self._give_up_overdue()
         if self._watch is not None:
             return
+        if self.is_settled:
+            self._probe_silent()
         now_s = self._clock()
         failed = self._failed | {
             a.upstream_id
@@ -178,6 +190,30 @@
             self._watch = asyncio.create_task(self._watch_links())
             self._watch.add_done_callback(self._forget_watch)
 
+    def _probe_silent(self) -> None:
+        """Probes upstreams that respond to other VMs, but not to this one.
+
+        A link to them was down. One that fails requests, or has ended, is left
+        to half-open probes.
+        """
+        since_s = self._clock() - SILENT_PROBE_INTERVAL_S
+        if self._silent_probed_s > since_s:
+            return
+        self._silent_probed_s = self._clock()
+        found = [
+            u
+            for u in self._cluster.registry.all()
+            if u.health.excluded
+            and u.is_silent
+            and u.may_be_probed
+            and u.reported_load_since(since_s, own_only=False) is not None
+        ]
+        if found:
+            random.shuffle(found)
+            self._silent_round = asyncio.create_task(
+                self._readmit_from(iter(found[:RECOVERY_PROBES]))
+            )
+
     async def probe(self) -> bool | None:
         """Returns whether any of some upstreams responds to a health check.
 
--- a/src/bramleyworks/gateway/upstream.py
+++ b/src/bramleyworks/gateway/upstream.py
@@ -58,6 +58,7 @@
         peers_in_flight: Requests in flight from other VMs, as reported in
             heartbeats.
         health: Outlier detection state.
+        is_silent: Whether the latest failure may be due to the link.
         last_response_s: Monotonic time in seconds at which it last responded.
         first_seen_s: Monotonic time in seconds at which it was first seen.
     """
@@ -83,6 +84,7 @@
         self.last_response_s = -math.inf
         self.first_seen_s = clock()
         self.health = upstream_health.UpstreamHealth()
+        self.is_silent = False
         self._wishes = wishes
         self._reported_others = 0.0
         self._reported_s = -math.inf
@@ -237,8 +239,17 @@
         ratio = min(high, max(low, work_s / max(expected_s, 1e-3)))
         self._slowness += SLOWNESS_SMOOTHING * (ratio - self._slowness)
 
-    def record_outcome(self, failed: bool, is_half_open: bool) -> None:
-        """Updates outlier detection with the outcome of a request."""
+    def record_outcome(
+        self, failed: bool, is_half_open: bool, is_silent: bool = False
+    ) -> None:
+        """Updates outlier detection with the outcome of a request.
+
+        Args:
+            failed: Whether the upstream failed the request.
+            is_half_open: Whether it was a half-open probe.
+            is_silent: Whether nothing came back, as when the link is down.
+        """
+        self.is_silent = failed and is_silent
         outcome = (
             slot_outcome.SlotOutcome.FAILED
             if failed
--- a/tests/gateway/test_isolation_probes.py
+++ b/tests/gateway/test_isolation_probes.py
@@ -107,3 +107,29 @@
         assert not detector.is_isolated
         detector.close()
         silent.close()
+
+
+@pytest.mark.parametrize(
+    ("is_silent", "responds_to_others", "is_back"),
+    [(True, True, True), (False, True, False), (True, False, False)],
+)
+async def test_upstream_that_only_this_vm_lost_is_back_when_its_link_is(
+    cluster_and_isolation, is_silent, responds_to_others, is_back
+):
+    """Guards against the wait between half-open probes, up to 16 s."""
+    cluster, detector = cluster_and_isolation
+    async with _server(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") as port:
+        upstream = _register(cluster, "u1", port)
+        for _ in range(3):
+            upstream.record_outcome(True, False, is_silent)
+        for _ in range(3):
+            upstream.record_outcome(True, True, is_silent)
+        assert upstream.is_excluded
+        for _ in range(8):
+            if responds_to_others:
+                upstream.record_peer_load(1, 0.01)
+            detector.check()
+            await asyncio.sleep(0.2)
+        assert upstream.is_excluded != is_back
+        detector.close()
+        upstream.close()
