Count responses during probes for all who probe, and time attempts in one place

The check of whether an upstream has ended asks the same probes, and would have taken a VM for cut off although a request was answered meanwhile.

Change: a round of probes counts such a response itself. The log entry of an attempt is timed by one context manager.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -253,19 +253,13 @@
             ):
                 return
             tried.add(upstream.instance.id)
-            start_s = self._clock()
-            # The entry stays pending if the caller disconnects or the deadline
-            # passes.
             entry = trace_module.new_attempt_entry(upstream, choice)
             trace.tried.append(entry)
-            try:
+            with trace_module.timed(entry, self._clock):
                 last = await self._attempts.run(
                     req, res, ctx, upstream, choice, body, trace
                 )
-                entry["outcome"] = last.result.value
-                entry["reason"] = last.reason
-            finally:
-                entry["ms"] = round((self._clock() - start_s) * 1000)
+            entry |= {"outcome": last.result.value, "reason": last.reason}
             self._record_crash_evidence(upstream, fingerprint, last)
             progress.record(last)
             if not self._may_repeat(res, ctx, body, fingerprint, progress):
@@ -332,23 +326,14 @@
             if peer is None:
                 return
             tried.add(peer.id)
-            start_s = self._clock()
+            attempts = ctx.attempts - progress.sent
             entry = trace_module.new_proxy_entry(peer)
             trace.tried.append(entry)
-            try:
+            with trace_module.timed(entry, self._clock):
                 last = await self._proxy.run(
-                    req,
-                    res,
-                    ctx,
-                    peer,
-                    ctx.attempts - progress.sent,
-                    body,
-                    trace,
+                    req, res, ctx, peer, attempts, body, trace
                 )
-                entry["outcome"] = last.result.value
-                entry["reason"] = last.reason
-            finally:
-                entry["ms"] = round((self._clock() - start_s) * 1000)
+            entry |= {"outcome": last.result.value, "reason": last.reason}
             progress.record(last)
             progress.refusal = None
             if (
--- a/src/bramleyworks/gateway/isolation.py
+++ b/src/bramleyworks/gateway/isolation.py
@@ -217,7 +217,8 @@
     async def probe(self) -> bool | None:
         """Returns whether any of some upstreams responds to a health check.
 
-        Concurrent calls share one round.
+        A response to a request counts as well if it comes meanwhile. Concurrent
+        calls share one round.
 
         Returns:
             None if there is no upstream that may be asked.
@@ -239,9 +240,7 @@
     async def _watch_links(self) -> None:
         """Probes until an upstream responds."""
         while True:
-            started_s = self._clock()
-            has_response = await self.probe()
-            if has_response is not False or self.last_contact_s > started_s:
+            if await self.probe() is not False:
                 if self.is_isolated:
                     self._end()
                 return
@@ -251,19 +250,20 @@
 
     async def _run_round(self) -> bool | None:
         """Probes a few upstreams; more before the VM counts as isolated."""
+        started_s = self._clock()
         ranked = self._rank_probed()
         if not ranked:
             return None
         if self.is_isolated:
             start = self._next_probe % len(ranked)
             self._next_probe += PROBES_PER_ROUND
-            turned = ranked[start:] + ranked[:start]
-            return await self._any_responds(turned[:PROBES_PER_ROUND])
-        return await self._any_responds(
-            ranked[:PROBES_PER_ROUND]
-        ) or await self._any_responds(
-            ranked[PROBES_PER_ROUND : PROBES_PER_ROUND + SECOND_PROBES]
-        )
+            ranked = ranked[start:] + ranked[:start]
+        has_response = await self._any_responds(ranked[:PROBES_PER_ROUND])
+        if not has_response and not self.is_isolated:
+            has_response = await self._any_responds(
+                ranked[PROBES_PER_ROUND : PROBES_PER_ROUND + SECOND_PROBES]
+            )
+        return has_response or self.last_contact_s > started_s
 
     async def _any_responds(
         self, upstreams: list[upstream_module.Upstream]
--- a/src/bramleyworks/gateway/trace.py
+++ b/src/bramleyworks/gateway/trace.py
@@ -1,6 +1,9 @@
 """Data for the log line of a request."""
 
+import contextlib
 import dataclasses
+from collections.abc import Callable
+from collections.abc import Iterator
 
 from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.policy import isolation
@@ -34,6 +37,19 @@
     is_proxied: bool = False
 
 
+@contextlib.contextmanager
+def timed(entry: dict, clock: Callable[[], float]) -> Iterator[None]:
+    """Records in the log entry of an attempt how long the attempt takes.
+
+    The entry stays pending if the caller disconnects or the deadline passes.
+    """
+    start_s = clock()
+    try:
+        yield
+    finally:
+        entry["ms"] = round((clock() - start_s) * 1000)
+
+
 def new_attempt_entry(
     upstream: upstream_module.Upstream, choice: placement.Choice
 ) -> dict:
