--- a/tests/gateway/test_isolation_probes.py
+++ b/tests/gateway/test_isolation_probes.py
@@ -58,6 +58,7 @@
         (b"503 Busy", b"", True),
         (b"200 OK", b"Server-Leaving: 1\r\n", False),
         (b"503 Busy", b"Retry-After: 2.5\r\n", False),
+        (b"503 Busy", b"Retry-After: 0\r\nServer-Leaving: 1\r\n", False),
     ],
 )
 async def test_wishes_in_responses_to_health_checks_are_kept(
--- a/tests/gateway/test_upstream_wishes.py
+++ b/tests/gateway/test_upstream_wishes.py
@@ -1,6 +1,7 @@
 """Upstreams that say in responses that they want no more requests."""
 
 import asyncio
+import signal
 
 from support import platform_fleet
 
@@ -90,6 +91,24 @@
         assert (await _run_counts(fleet))["u1"] == before["u1"]
 
 
+async def test_reload_of_settings_keeps_what_upstreams_said(tmp_path):
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = fleet.vms[0]
+        await fleet.wait_for_upstreams(vm, 2)
+        await fleet.upstream_fault("u1", "leaving")
+        await _send_at_once(fleet, vm, 8)
+        before = await _run_counts(fleet)
+        assert before["u1"]
+        vm.process.signal(signal.SIGHUP)
+
+        async def is_reloaded():
+            return any(e["event"] == "reload" for e in vm.events())
+
+        await fleet.wait_until(is_reloaded, "the reload")
+        await _send_at_once(fleet, vm, 8)
+        assert (await _run_counts(fleet))["u1"] == before["u1"]
+
+
 async def test_paused_upstream_whose_registration_returns_is_left_alone(
     tmp_path,
 ):
