Test links that fail and heal in series, and ask the kernel for one socket

Links of two of three VMs fail and heal each 0.8 s while one VM is stopped: no order runs twice, no refused request has run, and all callers are served again.

They ask the kernel for the one socket now; checks and bounds are unchanged.

--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -113,6 +113,39 @@
     assert not refused & set(runs)
 
 
+@pytest.mark.parametrize("mode", [gated_upstream.SILENT, gated_upstream.RESET])
+async def test_links_that_fail_and_heal_in_series_run_no_order_twice(
+    tmp_path, mode
+):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        await fleet.write_store({"op/config": platform_fleet.config(1)})
+        async with gated_upstream.gated_fleet(fleet, 4, UPSTREAMS) as gate:
+            callers = _Callers(fleet)
+            async with asyncio.TaskGroup() as group:
+                tasks = [group.create_task(callers.run(vm)) for vm in fleet.vms]
+                for number in range(10):
+                    cut = [fleet.vms[number % 3], fleet.vms[(number + 1) % 3]]
+                    gate.set_mode(cut, mode, fleet.upstreams)
+                    await asyncio.sleep(0.8)
+                    gate.set_mode(cut, gated_upstream.OPEN, fleet.upstreams)
+                    if number == 5:
+                        fleet.vms[1].process.terminate()
+                healed_s = time.monotonic()
+                await asyncio.sleep(RECOVERY_S + 1.5)
+                end_s = time.monotonic()
+                for task in tasks:
+                    task.cancel()
+            await asyncio.sleep(DEADLINE_MS / 1000)
+            runs = collections.Counter(run[0] for run in gate.runs)
+            orders = {r[3] for r in callers.results if r[4]}
+            assert all(runs[name] <= 1 for name in orders)
+            refused = {r[3] for r in callers.results if r[2] == 503}
+            assert not refused & set(runs)
+            left = [vm for vm in fleet.vms if vm is not fleet.vms[1]]
+            served, sent = callers.served(left, healed_s + RECOVERY_S, end_s)
+            assert served >= 0.98 * sent
+
+
 @contextlib.asynccontextmanager
 async def _small_fleet(tmp_path, vms=3, **options):
     async with platform_fleet.Fleet(tmp_path) as fleet:
--- a/tests/support/gated_upstream.py
+++ b/tests/support/gated_upstream.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import hashlib
-import os
-import pathlib
+
+from support import socket_owner
 
 # Answers everything.
 OPEN = "open"
@@ -16,7 +16,6 @@
 NO_NEW = "no_new"
 
 WORK_S = 0.05
-INODE_READS = 5
 SLOTS = 8
 
 
@@ -79,29 +78,9 @@
         finally:
             writers.discard(writer)
 
-    def vm_of(self, host, port):
-        """Returns the id of the VM that owns a client socket, None if gone."""
-        # The table may leave out a socket while others come and go.
-        inodes = (_inode_of(host, port) for _ in range(INODE_READS))
-        inode = next((found for found in inodes if found), None)
-        for pid, vm_id in self._pids.items():
-            with contextlib.suppress(OSError):
-                for entry in pathlib.Path(f"/proc/{pid}/fd").iterdir():
-                    with contextlib.suppress(OSError):
-                        if os.readlink(entry) == f"socket:[{inode}]":
-                            return vm_id
-        return None
-
-
-def _inode_of(host, port):
-    """Returns the inode of the local socket that is bound to an address."""
-    packed = "".join(f"{int(part):02X}" for part in reversed(host.split(".")))
-    wanted = f"{packed}:{port:04X}"
-    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        if fields[1] == wanted:
-            return fields[9]
-    return None
+    def vm_of(self, client, server):
+        """Returns the id of the VM that connected, None if it is gone."""
+        return self._pids.get(socket_owner.find(self._pids, client, server))
 
 
 class GatedUpstream:
@@ -130,7 +109,10 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        vm_id = self._gate.vm_of(*writer.get_extra_info("peername"))
+        vm_id = self._gate.vm_of(
+            writer.get_extra_info("peername"),
+            writer.get_extra_info("sockname"),
+        )
         link = (vm_id, self.name)
         try:
             if vm_id is None or self._gate.mode(link) in (RESET, NO_NEW):
