--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from rig import rig as rig_module  # noqa: E402
+import rig as rig_module  # noqa: E402
 
 CONFIG_APPLY_S = 2.5
 BEAT_S = 1.5
@@ -38,12 +38,13 @@
     plan = rig_module.rule("plan", "safe", "/plan/", service="gate")
     await rig.start_store()
     await rig.write_config([stock], version=1, services=["desk"])
-    for number, zone in enumerate(rig_module.ZONES):
+    for number, zone in enumerate([*rig_module.ZONES, *rig_module.ZONES]):
         await rig.add_server(f"i-desk-{number}", zone, work_ms=50)
     await rig.add_vms(list(rig_module.ZONES))
     await asyncio.sleep(rig_module.CONTACT_S + 0.5)
-    new = [f"i-gate-{number}" for number in range(len(rig_module.ZONES))]
-    for name, zone in zip(new, rig_module.ZONES, strict=True):
+    # A share of 0.3 more servers at most.
+    new = {f"i-gate-{zone}": zone for zone in ("norte-a", "centro-a", "sul-a")}
+    for name, zone in new.items():
         # Without the disruption the servers are warm from the start.
         cold_ms = COLD_MS if rig.trouble else 0
         await rig.add_server(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from rig import rig as rig_module  # noqa: E402
+import rig as rig_module  # noqa: E402
 
 ZONES = list(rig_module.ZONES) * 3
 REGION = "norte"
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # the store finds its libraries in the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-for file in review/rig/*.py review/[1-5]/*.py src/bramleyworks_standins/kv_store.py; do
+for file in review/*.py review/[1-5]/*.py src/bramleyworks_standins/kv_store.py; do
   [ -e "$file" ] || continue
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/rig/rig.py
+++ b/review/rig.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -24,7 +25,7 @@
 import time
 import traceback
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "shop.example"
 # A script may run for 120 s.
 CASE_LIMIT_S = 110
@@ -53,12 +54,13 @@
     "sul-b": "sul",
 }
 RESET = struct.pack("ii", 1, 0)
-_ports = itertools.count(20_000 + os.getpid() * 61 % 10_000)
+# Below the ports that outgoing connections take.
+PORTS = range(20_000, 32_000)
 
 
 def free_port(ips=("127.0.0.1",)):
     """Returns a port that is free on some loopback addresses."""
-    for port in itertools.islice(_ports, 5000):
+    for port in random.sample(PORTS, 2000):
         with contextlib.ExitStack() as stack:
             try:
                 for ip, kind in itertools.product(
@@ -329,7 +331,7 @@
         cold_left_ms=0,
     ):
         """Starts a server and registers it."""
-        argv = [sys.executable, str(ROOT / "review/rig/server.py")]
+        argv = [sys.executable, str(ROOT / "review/server.py")]
         tail = [name, str(slots), str(work_ms)]
         tail += [str(self._tmp / f"{name}.jsonl")] + ([fault] if fault else [])
         for _ in range(3):
