Pass on removals of upstreams that a VM delays itself

Cause: a VM that regains the store delays removals of upstreams for 2 s, since their leases may have expired during an outage. It kept them out of its replica but took over the position of the changes. VMs that copied from it got the position without the removal and never asked for it again.

Change: the replica has each removal at its own revision; RemovalGrace delays only the effect on the VM's own upstreams. Updates and heartbeats say whether a replica has every change. Earlier builds do not say so: their copies are used while the store is away, and the whole store is listed when it responds.

Ruled out: lost heartbeats, the limit of kept changes and the relay's watch; the log lines store.copied show the position without the removal.

--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -27,6 +27,7 @@
 from bramleyworks.gateway import peers as peers_module
 from bramleyworks.gateway import quotas as quotas_module
 from bramleyworks.gateway import registration as registration_module
+from bramleyworks.gateway import removal_grace
 from bramleyworks.gateway import replica_update
 from bramleyworks.gateway import retry_budget
 from bramleyworks.gateway import settings as settings_module
@@ -99,6 +100,7 @@
         self._cluster = cluster_state_module.ClusterState(
             settings.region, settings.regions, log, clock
         )
+        self._removals = removal_grace.RemovalGrace(self._apply_change, clock)
         self._replica = store_replica_module.StoreReplica(
             self._apply_item, wire_updates.compare
         )
@@ -120,6 +122,7 @@
             settings.vm_id,
             self._store,
             self._replica,
+            self._removals,
             self._peers,
             self._seed_controls,
             self._config_version,
@@ -450,6 +453,9 @@
 
     def _apply_item(self, item: kv_item.KvItem) -> None:
         self._peers.request_send()
+        self._removals.apply(item)
+
+    def _apply_change(self, item: kv_item.KvItem) -> None:
         update = wire_updates.decode(item)
         if update is not None:
             self._cluster.apply(update)
@@ -523,6 +529,7 @@
             config=self._config_version(),
             demand=self._traffic.demand(),
             store_age_s=round(self._sync.age_s, 2),
+            is_exact=self._replica.is_exact,
             usage=self._quotas.usage(),
             in_flight={
                 u.instance.id: u.in_flight
--- a/src/bramleyworks/gateway/heartbeat.py
+++ b/src/bramleyworks/gateway/heartbeat.py
@@ -70,6 +70,8 @@
         cut_off: Ids of the VMs that are covered and reach no upstream.
         contacts: Age of the last response of an upstream to a VM that is
             covered, in hundredths of a second by service.
+        is_exact: Whether the sender's replica has every change up to its
+            revision; False from earlier builds.
         is_full: Whether ``usage``, ``limits`` and ``members`` are complete. In
             a delta, the first two have the changes since the last full
             heartbeat, and ``members`` is omitted because it did not change.
@@ -94,6 +96,7 @@
     quarantine: dict[str, tuple[list[int], list[int], int, float]] = {}
     cut_off: list[str] = []
     contacts: dict[str, int] = {}
+    is_exact: bool = False
 
     @property
     def position(self) -> kv_position.Position:
--- a/src/bramleyworks/gateway/peers.py
+++ b/src/bramleyworks/gateway/peers.py
@@ -416,6 +416,11 @@
             self._clock() - received.received_s
         )
 
+    def is_exact(self, vm_id: str) -> bool:
+        """Returns whether a peer's replica lacks no change; see Heartbeat."""
+        received = self._received.get(vm_id)
+        return received is not None and received.heartbeat.is_exact
+
     def request_send(self) -> None:
         """Sends the next heartbeat early if peers may copy from this VM."""
         if self.is_full_mesh or self._own.id in self.relays():
--- a/src/bramleyworks/gateway/replica_update.py
+++ b/src/bramleyworks/gateway/replica_update.py
@@ -23,12 +23,15 @@
         items: Key, value (None for a removal) and revision of each item, and
             era and revision of a change that the store has lost, else None.
         era: Era of the store that the revisions belong to.
+        is_exact: Whether the sender has every change up to the revision; False
+            from earlier builds.
     """
 
     revision: int
     is_full: bool
     items: list[tuple[str, bytes | None, int, tuple[int, int] | None]]
     era: int = 0
+    is_exact: bool = False
 
     @property
     def position(self) -> kv_position.Position:
@@ -50,7 +53,7 @@
             replica: Replica to send.
         """
         self._replica = replica
-        self._encoded_for = (kv_position.Position(), 0)
+        self._encoded_for = (kv_position.Position(), 0, True)
         self._encoded: dict[kv_position.Position, bytes] = {}
 
     def encode(self, after: kv_position.Position) -> bytes:
@@ -59,7 +62,11 @@
         Args:
             after: Position of the peer, revision 0 if it has no data.
         """
-        content = (self._replica.position, self._replica.generation)
+        content = (
+            self._replica.position,
+            self._replica.generation,
+            self._replica.is_exact,
+        )
         if self._encoded_for != content:
             self._encoded_for = content
             self._encoded.clear()
@@ -78,6 +85,7 @@
             changes is None,
             [_encode_item(item) for item in found],
             position.era,
+            self._replica.is_exact,
         )
         return zlib.compress(msgspec.msgpack.encode(update), COMPRESSION_LEVEL)
 
@@ -120,8 +128,10 @@
         return result.Ok(replica.adopt_lost(items) or None)
     if update.is_full:
         replica.replace(update.position, items)
+        replica.is_exact = update.is_exact
     elif update.era == replica.position.era:
         replica.apply(update.position, items)
+        replica.is_exact = replica.is_exact and update.is_exact
     else:
         return result.Err(
             errors.MessageError("copy.apply", peer, "a delta to another era")
--- a/src/bramleyworks/gateway/store_replica.py
+++ b/src/bramleyworks/gateway/store_replica.py
@@ -24,6 +24,9 @@
     Attributes:
         position: Position up to which all changes are applied.
         generation: Increases with each change of the content.
+        is_exact: Whether the content has every change up to the position. VMs
+            of earlier builds pass on positions without the removals that they
+            delay.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         """
         self.position = kv_position.Position()
         self.generation = 0
+        self.is_exact = True
         self._on_change = on_change
         self._compare = compare
         self._items: dict[str, kv_item.KvItem] = {}
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -15,6 +16,7 @@
 from bramleyworks.adapters import http_session
 from bramleyworks.gateway import event_log
 from bramleyworks.gateway import peers as peers_module
+from bramleyworks.gateway import removal_grace
 from bramleyworks.gateway import replica_update
 from bramleyworks.gateway import store_replica as store_replica_module
 from bramleyworks.platform import kv_item
@@ -31,9 +33,6 @@
 # Initial backoff after a failed call; it doubles up to the maximum.
 BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
-# Upstreams whose registrations expired while the store was unavailable may
-# register again within this time after its recovery.
-REGISTER_GRACE_S = 2.0
 # Time after a restore of the store within which operators write again what it
 # has lost. An order that they withdrew meanwhile leaves no trace in the store.
 OPERATOR_GRACE_S = 10.0
@@ -79,6 +78,7 @@
         own_id: str,
         store: kv_store.KvStore,
         replica: store_replica_module.StoreReplica,
+        removals: removal_grace.RemovalGrace,
         peers: peers_module.Peers,
         seeds: Callable[[], list[str]],
         config_version: Callable[[], int],
@@ -91,6 +91,7 @@
             own_id: Name of this VM.
             store: Client of the store.
             replica: Replica to update.
+            removals: Delays removals after an outage of the store.
             peers: Heartbeats of peers.
             seeds: Returns control addresses to try when no peer is known.
             config_version: Returns the version of the configuration in force.
@@ -100,14 +101,13 @@
         self._own_id = own_id
         self._store = store
         self._replica = replica
+        self._removals = removals
         self._peers = peers
         self._seeds = seeds
         self._config_version = config_version
         self._log = log
         self._clock = clock
         self._last_response_s = -math.inf
-        self._recovered_s = -math.inf
-        self._deferred_removals: dict[str, kv_item.KvItem] = {}
         self._next_lost_copy_s = -math.inf
         # When this VM learned of the present era of the store, and the graces
         # of that era that have not passed.
@@ -132,13 +132,14 @@
         was_following = False
         while True:
             try:
-                if not listed:
+                if not listed or self._needs_list():
                     position, items = await self._store.list_items("")
                     self._record_success()
                     self._replace(position, items)
                     self.has_data = listed = True
                 elif self._follows_relay():
                     was_following = True
+                    self._record_available()
                     await asyncio.sleep(FOLLOW_INTERVAL_S)
                     await self._copy_from_peer(session)
                     self._settle()
@@ -155,7 +156,7 @@
                         self._watch_timeout_s(),
                     )
                     self._record_success()
-                    self._replica.apply(position, self._defer_removals(changes))
+                    self._replica.apply(position, changes)
                 self._settle()
                 await self._copy_lost_config(session)
                 backoff_s = BACKOFF_S
@@ -183,28 +184,45 @@
         """Returns the seconds that a watch may wait."""
         if not self._peers.is_full_mesh:
             return RELAY_WATCH_TIMEOUT_S
-        return SETTLE_WATCH_TIMEOUT_S if self._graces else WATCH_TIMEOUT_S
+        if self._graces or self._removals.is_delaying:
+            return SETTLE_WATCH_TIMEOUT_S
+        return WATCH_TIMEOUT_S
+
+    def _needs_list(self) -> bool:
+        """Returns whether the replica may lack changes that it has passed.
+
+        Watching from its position would not return them.
+        """
+        return not self._replica.is_exact
 
     def _follows_relay(self) -> bool:
         """Returns whether this VM copies from a relay and need not watch."""
         if self._peers.is_full_mesh:
             return False
         relays = self._peers.relays()
-        ages = {name: self._peers.store_age_s(name) for name in relays}
+        ages = {
+            name: self._peers.store_age_s(name)
+            for name in relays
+            if self._peers.is_exact(name)
+        }
         return follows_relay(self._own_id, relays, ages)
 
     def _record_success(self) -> None:
-        now_s = self._clock()
-        if self.is_store_unavailable:
-            self.is_store_unavailable = False
-            if self.has_data:
-                self._recovered_s = now_s
-            self._log.write(
-                "store.regained",
-                revision=self._replica.position.revision,
-                era=self._store.era,
-            )
-        self._last_response_s = now_s
+        self._record_available()
+        self._last_response_s = self._clock()
+
+    def _record_available(self) -> None:
+        """Records that the store responds to this VM, or to its relay."""
+        if not self.is_store_unavailable:
+            return
+        self.is_store_unavailable = False
+        if self.has_data:
+            self._removals.end_outage()
+        self._log.write(
+            "store.regained",
+            revision=self._replica.position.revision,
+            era=self._store.era,
+        )
 
     def _record_failure(self, exc: errors.StoreError) -> None:
         if (
@@ -212,6 +230,7 @@
             and self._clock() - self._last_response_s >= UNAVAILABLE_AFTER_S
         ):
             self.is_store_unavailable = True
+            self._removals.start_outage()
             self._log.write(
                 "store.lost",
                 step=exc.step,
@@ -226,9 +245,8 @@
     ) -> None:
         """Replaces the replica by what the store has."""
         era = self._replica.position.era
-        if position.era == era:
-            items = self._keep_missing_upstreams(items)
         self._replica.replace(position, items)
+        self._replica.is_exact = True
         self._note_era(era, "store")
 
     def _note_era(self, before: int, source: str) -> None:
@@ -241,11 +259,9 @@
         position = self._replica.position
         if position.era == before:
             return
-        # Removals that were deferred belong to changes of the era before.
-        self._deferred_removals.clear()
         lost = self._replica.lost_count()
         if self.has_data:
-            self._recovered_s = self._clock()
+            self._removals.end_outage()
         if self.has_data or lost:
             self._start_graces()
         self._log.write(
@@ -264,8 +280,11 @@
         orders = (store_keys.EVACUATIONS, store_keys.MOVE_ORDERS)
         drop, accept = self._replica.drop_missing, self._replica.accept_revived
         self._graces = [
-            (REGISTER_GRACE_S, functools.partial(drop, lapsing)),
-            (REGISTER_GRACE_S, functools.partial(accept, lapsing)),
+            (removal_grace.REGISTER_GRACE_S, functools.partial(drop, lapsing)),
+            (
+                removal_grace.REGISTER_GRACE_S,
+                functools.partial(accept, lapsing),
+            ),
             (WITHDRAWN_GRACE_S, functools.partial(accept, orders)),
             (OPERATOR_GRACE_S, functools.partial(drop, orders)),
             (OPERATOR_GRACE_S, self._replica.end_replay),
@@ -273,59 +292,11 @@
 
     def _settle(self) -> None:
         """Ends the graces that have passed."""
-        self._apply_deferred_removals()
         era_age_s = self._clock() - self._era_since_s
         while self._graces and era_age_s > self._graces[0][0]:
             _, end = self._graces.pop(0)
             end()
-
-    def _defer_removals(
-        self, changes: list[kv_item.KvItem]
-    ) -> list[kv_item.KvItem]:
-        """Defers removals that an outage of the store may have caused."""
-        if self._clock() - self._recovered_s > REGISTER_GRACE_S:
-            return changes
-        kept = []
-        for item in changes:
-            is_expiry = item.value is None and item.key.startswith(
-                store_keys.UPSTREAMS
-            )
-            if is_expiry:
-                self._deferred_removals[item.key] = item
-            else:
-                self._deferred_removals.pop(item.key, None)
-                kept.append(item)
-        return kept
-
-    def _keep_missing_upstreams(
-        self, items: list[kv_item.KvItem]
-    ) -> list[kv_item.KvItem]:
-        """Adds upstreams that a snapshot lacks but that may register again."""
-        if not self._replica.position.revision:
-            return items
-        if self._clock() - self._recovered_s > REGISTER_GRACE_S:
-            return items
-        listed = {item.key for item in items}
-        missing = [
-            item
-            for item in self._replica.items()
-            if item.key not in listed
-            and item.key.startswith(store_keys.UPSTREAMS)
-        ]
-        for item in missing:
-            self._deferred_removals[item.key] = kv_item.KvItem(
-                item.key, None, item.revision + 1, item.era
-            )
-        return items + missing
-
-    def _apply_deferred_removals(self) -> None:
-        """Applies the deferred removals at the end of the grace period."""
-        if (
-            self._deferred_removals
-            and self._clock() - self._recovered_s > REGISTER_GRACE_S
-        ):
-            removals, self._deferred_removals = self._deferred_removals, {}
-            self._replica.apply(self._replica.position, removals.values())
+        self._removals.settle()
 
     async def _copy_from_peer(self, session: aiohttp.ClientSession) -> None:
         """Copies from a peer with a newer revision, if there is one."""
@@ -334,11 +305,10 @@
             and self._peers.newest_position <= self._replica.position
         ):
             return
+        heartbeats = self._peers.direct_heartbeats()
         ahead = sources(
-            {
-                heartbeat.vm.control: heartbeat.position
-                for heartbeat in self._peers.direct_heartbeats()
-            },
+            {b.vm.control: b.position for b in heartbeats},
+            {b.vm.control for b in heartbeats if b.is_exact},
             self._replica.position,
             self.has_data,
         )
@@ -405,22 +375,25 @@
 
 def sources(
     positions: Mapping[str, kv_position.Position],
+    exact: Collection[str],
     own: kv_position.Position,
     has_data: bool,
 ) -> list[str]:
     """Returns the control addresses of peers to copy from.
 
     A VM that has just started takes the newest state only: an older one may
-    list upstreams that have left and keys that were withdrawn.
+    list upstreams that have left and keys that were withdrawn. Other VMs prefer
+    replicas that lack no change.
 
     Args:
         positions: Position of each peer's replica by control address.
+        exact: Addresses of the peers whose replicas lack no change.
         own: Position of this VM's replica.
         has_data: Whether the replica has been filled.
     """
     ahead = {a: position for a, position in positions.items() if position > own}
     if has_data or not ahead:
-        return list(ahead)
+        return [a for a in ahead if a in exact] or list(ahead)
     newest = max(ahead.values())
     return [a for a, position in ahead.items() if position == newest]
 
--- a/tests/support/child.py
+++ b/tests/support/child.py
@@ -23,10 +23,10 @@
 class Child:
     """Runs ``python -m MODULE ARGS`` and signals only that process."""
 
-    def __init__(self, name, module, args, log_path, python_path=()):
+    def __init__(self, name, module, args, log_path, python_path=(), src=SRC):
         self.name = name
         self.log_path = log_path
-        paths = [str(SRC), *map(str, python_path)]
+        paths = [str(src), *map(str, python_path)]
         with open(log_path, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", module, *map(str, args)],
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -8,6 +8,7 @@
 import time
 
 import aiohttp
+from soak import link as store_link
 from support import child
 from support import ports
 
@@ -120,6 +121,8 @@
     config_path: object
     process: child.Child
     values: dict
+    # Its link to the store, if that can be cut.
+    link: store_link.Link | None = None
 
     def url(self, name, path):
         return f"http://{self.ip}:{self.values[name]}{path}"
@@ -183,8 +186,10 @@
     async def __aexit__(self, *exc):
         await self._stack.aclose()
 
-    def _start(self, name, module, args):
-        started = child.Child(name, module, args, self._folder / f"{name}.log")
+    def _start(self, name, module, args, src=child.SRC):
+        started = child.Child(
+            name, module, args, self._folder / f"{name}.log", src=src
+        )
         self._stack.callback(started.close)
         return started
 
@@ -296,7 +301,16 @@
             found += [run | {"upstream": name} for run in status["runs"]]
         return found
 
-    async def add_vm(self, region="one", wait=True, store=None):
+    async def add_vm_with_link(self, **options):
+        """Adds a VM whose link to the store can be cut."""
+        link = store_link.Link(self.store)
+        await link.start()
+        self._stack.push_async_callback(link.close)
+        vm = await self.add_vm(store=link.address, **options)
+        vm.link = link
+        return vm
+
+    async def add_vm(self, region="one", wait=True, store=None, src=child.SRC):
         number = len(self.vms) + 1
         ip = f"127.0.1.{number}"
         name = f"vm{number}"
@@ -309,17 +323,20 @@
         }
         path = self._folder / f"{name}.ini"
         path.write_text(SETTINGS.format(**values))
-        vm = Vm(name, ip, path, self._start_vm(name, path), values)
+        process = self._start_vm(name, path, src)
+        vm = Vm(name, ip, path, process, values)
         self.vms.append(vm)
         if wait:
             await self.wait_until(lambda: self.is_ready(vm), name)
         return vm
 
-    def _start_vm(self, name, path):
-        return self._start(name, "bramleyworks.gateway", ["--config", path])
+    def _start_vm(self, name, path, src=child.SRC):
+        return self._start(
+            name, "bramleyworks.gateway", ["--config", path], src
+        )
 
-    async def restart(self, vm, wait=True):
-        vm.process = self._start_vm(vm.id, vm.config_path)
+    async def restart(self, vm, wait=True, src=child.SRC):
+        vm.process = self._start_vm(vm.id, vm.config_path, src)
         if wait:
             await self.wait_until(lambda: self.is_ready(vm), vm.id)
 
