Cut VMs off from the store in two tests that did not

The stand-in of the store selects faults by the client's address. VMs on loopback addresses connect from 127.0.0.1, so the faults for single VMs in test_life.py and test_restored_store.py matched nobody: the VMs read the store as usual. Both now hold the link of the VM, which is what they mean to check. The bounds are unchanged; the fault is silence in place of a refusal.

--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from soak import link as store_link
 from support import platform_fleet
 
 
@@ -208,18 +209,17 @@
         assert (await fleet.send_request(vm))[0] == 200
 
 
-async def test_vm_rejected_by_the_store_copies_from_a_peer(tmp_path):
-    async with platform_fleet.small_fleet(tmp_path, vms=2) as fleet:
+async def test_vm_cut_off_from_the_store_copies_from_a_peer(tmp_path):
+    async with platform_fleet.small_fleet(tmp_path, vms=1) as fleet:
+        vm = await fleet.add_vm_with_link()
         await asyncio.sleep(1.0)
-        await fleet.store_faults({fleet.vms[0].ip: "busy"})
+        vm.link.set_mode(store_link.HOLD_BOTH)
         await fleet.write_store(
             {"op/config": platform_fleet.config(7, keys=["key-two"])}
         )
 
         async def in_force():
-            return (await fleet.send_request(fleet.vms[0], key="key-two"))[
-                0
-            ] == 200
+            return (await fleet.send_request(vm, key="key-two"))[0] == 200
 
         await fleet.wait_until(in_force, "version 7 by way of a peer", 4.0)
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from soak import link as store_link
 from support import platform_fleet
 
 CONFIG_APPLY_S = 2.5  # ``config_apply_ms``.
@@ -101,9 +102,10 @@
 
 async def test_vms_that_are_cut_off_and_start_follow_a_second_restore(tmp_path):
     """Guards against VMs that go back to what came before a restore."""
-    async with platform_fleet.small_fleet(tmp_path, vms=3) as fleet:
+    async with platform_fleet.small_fleet(tmp_path, vms=1) as fleet:
+        cut_off = await fleet.add_vm_with_link()
+        await fleet.add_vm()
         await fleet.store_faults(copy=True)
-        cut_off = fleet.vms[1]
         rules = [added_route(1)]
         config = platform_fleet.config(2, rules=rules)
         await fleet.write_store({"op/config": config})
@@ -112,7 +114,8 @@
                 lambda vm=vm: serves(fleet, vm, 1), "the first route"
             )
         await restore(fleet)
-        await fleet.store_faults({cut_off.ip: "busy"}, restore=True)
+        cut_off.link.set_mode(store_link.HOLD_BOTH)
+        await fleet.store_faults(restore=True)
         fleet.vms[2].process.kill()
         await fleet.restart(fleet.vms[2], wait=False)
         await asyncio.sleep(0.5)
