Keep the responses before one that fails

Cause: a failed response aborted the transport in whichever place it was, and "Connection: close" was written without regard to requests read behind it.

Change: what was not sent is discarded, and the request is repeated or gets its own 502 or 504. An aborted response closes in its turn, after what precedes it was sent. The head is completed when it is sent, and closes the connection only if no request was read behind it.

--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -167,13 +167,10 @@
             trace.reason = "the caller has left"
             raise
         except Exception as exc:
+            self._refuse(
+                req, res, refused.RefusedError(502, "internal error"), trace
+            )
             trace.reason = f"internal error: {exc!r}"
-            if res.started or res.ended:
-                res.abort()
-            else:
-                self._refuse(
-                    req, res, refused.RefusedError(502, "internal error"), trace
-                )
             raise
         finally:
             self.running -= 1
@@ -262,6 +259,7 @@
             entry |= {"outcome": last.result.value, "reason": last.reason}
             self._record_crash_evidence(upstream, fingerprint, last)
             progress.record(last)
+            _discard_failed(res, last)
             if not self._may_repeat(res, ctx, body, fingerprint, progress):
                 return
 
@@ -335,6 +333,7 @@
                 )
             entry |= {"outcome": last.result.value, "reason": last.reason}
             progress.record(last)
+            _discard_failed(res, last)
             progress.refusal = None
             if (
                 last.result is not attempt_outcome.AttemptResult.NOT_RUN
@@ -479,6 +478,7 @@
     ) -> None:
         trace.status = refusal.status
         trace.reason = refusal.reason
+        res.discard()
         if res.started or res.ended:
             res.abort()
             return
@@ -535,6 +535,14 @@
         )
 
 
+def _discard_failed(
+    res: response_module.Response, outcome: attempt_outcome.Outcome
+) -> None:
+    """Drops what a failed attempt wrote if the caller received none of it."""
+    if outcome.result is not attempt_outcome.AttemptResult.ANSWERED:
+        res.discard()
+
+
 def _take_proxied_fields(
     req: request_module.Request,
 ) -> proxied_head.ProxiedFields:
--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -276,8 +276,7 @@
             self._write,
             self._drain,
             self._on_response_end,
-            self.abort,
-            self.reset,
+            self._may_close_after,
             is_http_10,
         )
 
@@ -288,11 +287,12 @@
             # The handler of this request must not receive the rest of its body.
             self._incoming = None
             current, task = self._running[-1]
-            if current.started or task is None:
-                self.abort()
+            task.cancel()
+            current.discard()
+            if current.started:
+                current.abort()
                 return
             self._running.pop()
-            task.cancel()
         res = self._new_response(False)
         self._running.append((res, None))
         if len(self._running) == 1:
@@ -305,7 +305,10 @@
         while self._running and self._running[0][0].ended:
             first, _ = self._running.popleft()
             self._idle_since_s = self._clock()
-            if first.closes_connection:
+            if first.needs_reset:
+                self.reset()
+                return
+            if first.closes_connection or first.is_aborted:
                 self._close()
                 return
             if self._running:
@@ -315,6 +318,13 @@
             self._transport.resume_reading()
             self._feed(data)
 
+    def _may_close_after(self, res: response_module.Response) -> bool:
+        """Returns whether a response is the last one, and reads no more."""
+        if self._running and self._running[-1][0] is not res:
+            return False
+        self._last_request = True
+        return True
+
     def _close(self) -> None:
         """Closes the connection and cancels the requests still in flight."""
         self._last_request = True
--- a/src/bramleyworks/gateway/response.py
+++ b/src/bramleyworks/gateway/response.py
@@ -17,6 +17,7 @@
     Attributes:
         started: Whether the head has been written.
         ended: Whether the response is complete or aborted.
+        is_aborted: Whether it ended without being complete.
         closes_connection: Whether the connection closes after it.
     """
 
@@ -25,8 +26,7 @@
         write: Callable[[bytes], None],
         drain: Callable[[], Awaitable[None]],
         on_end: Callable[["Response"], None],
-        abort: Callable[[], None],
-        reset: Callable[[], None],
+        may_close: Callable[["Response"], bool],
         is_http_10: bool,
     ):
         """Initializes a response that buffers until ``flush``.
@@ -34,22 +34,26 @@
         Args:
             write: Writes to the connection once earlier responses are sent.
             drain: Waits until the connection's send buffer has room.
-            on_end: Called when the response is complete.
-            abort: Closes the connection at once.
-            reset: Closes it so that the caller sees an error.
+            on_end: Called when the response is complete or aborted.
+            may_close: Returns whether the connection may close after it. It
+                stays open for responses to requests that have been read.
             is_http_10: Whether the caller uses HTTP/1.0, which has no chunked
                 coding.
         """
         self.started = False
         self.ended = False
+        self.is_aborted = False
         self.closes_connection = False
         self._write = write
         self._drain = drain
         self._on_end = on_end
-        self._abort = abort
-        self._reset = reset
+        self._may_close = may_close
         self._is_http_10 = is_http_10
         self._may_write = asyncio.Event()
+        self._is_sent = False
+        self._wants_close = False
+        # Lines of a head that was not sent yet.
+        self._head_lines: list[bytes] = []
         self._chunked = False
         self._ends_with_connection = False
         self._buffered = bytearray()
@@ -67,10 +71,11 @@
             status: Status code.
             headers: Headers except those for framing and the connection.
             length: Body length in bytes, None if unknown.
-            close: Whether to close the connection after this response.
+            close: Whether to close the connection after this response, if no
+                other one follows.
         """
         self.started = True
-        self.closes_connection = close
+        self._wants_close = close
         lines = [b"HTTP/1.1 %d %s" % (status, _reason_phrase(status))]
         lines.extend(b"%b: %b" % header for header in headers)
         if length is not None:
@@ -78,13 +83,12 @@
                 lines.append(b"content-length: %d" % length)
         elif self._is_http_10:
             self._ends_with_connection = True
-            self.closes_connection = True
         else:
             self._chunked = True
             lines.append(b"transfer-encoding: chunked")
-        if self.closes_connection:
-            lines.append(b"connection: close")
-        self._write_or_buffer(b"\r\n".join(lines) + b"\r\n\r\n")
+        self._head_lines = lines
+        if self._may_write.is_set():
+            self.flush()
 
     async def write_body(self, chunk: bytes) -> None:
         """Writes bytes of the body and waits while the caller is slow."""
@@ -121,23 +125,49 @@
         self.ended = True
         self._on_end(self)
 
+    def discard(self) -> None:
+        """Drops what was written if no byte was sent, so that it may restart.
+
+        A response that waits behind an earlier one has not been sent.
+        """
+        if self.ended or self._is_sent:
+            return
+        self.started = False
+        self._head_lines.clear()
+        self._chunked = False
+        self._ends_with_connection = False
+        self._buffered.clear()
+
     def abort(self) -> None:
-        """Closes the connection so that a partial response is detectable."""
+        """Ends an incomplete response; the connection closes after it."""
         if self.ended:
             return
-        self.ended = True
-        if self._ends_with_connection:
-            # A regular close would end it as a complete response.
-            self._reset()
-        else:
-            self._abort()
+        self.ended = self.is_aborted = True
+        self._on_end(self)
+
+    @property
+    def needs_reset(self) -> bool:
+        """Whether a regular close would make it look complete."""
+        return self.is_aborted and self._is_sent and self._ends_with_connection
 
     def flush(self) -> None:
         """Sends the buffered bytes once all earlier responses are complete."""
         self._may_write.set()
-        if self._buffered:
-            self._write(bytes(self._buffered))
-            self._buffered.clear()
+        if self.is_aborted or not self._head_lines:
+            return
+        self._is_sent = True
+        self._write(self._take_head() + bytes(self._buffered))
+        self._buffered.clear()
+
+    def _take_head(self) -> bytes:
+        """Returns the head, complete now that its bytes are sent."""
+        lines, self._head_lines = self._head_lines, []
+        self.closes_connection = self._ends_with_connection or (
+            self._wants_close and self._may_close(self)
+        )
+        if self.closes_connection:
+            lines.append(b"connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def _write_or_buffer(self, data: bytes) -> None:
         if self._may_write.is_set():
