Derive the versions of a service from its upstreams

Cause: for a registration that changed and kept its version, the count beside the registrations was updated with a dict that has the same key twice, so it fell by one with each change, to 0. With a second version beside it the count of the first one fell below it, and upstreams that no move had named were used.

Change: versions are counted from the registered upstreams. The version of a service is set once its upstreams are seen; of several the one that has run longest; never the target of a move that is not done.

--- a/src/bramleyworks/gateway/cluster_state.py
+++ b/src/bramleyworks/gateway/cluster_state.py
@@ -71,6 +71,11 @@
             service, self.moves.target_version(service)
         )
 
+    def settle_base_versions(self) -> None:
+        """Sets the versions that serve before others start beside them."""
+        for service in self.registry.services:
+            self.base_version(service)
+
     def eligible_versions(self, service: str) -> set[str]:
         """Returns the versions of a service that requests may be sent to."""
         return self.moves.eligible_versions(
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -425,6 +425,7 @@
             upstream.peers_in_flight = in_flight.get(upstream.instance.id, 0.0)
             upstream.close_idle()
         self._cluster.registry.forget_limits()
+        self._cluster.settle_base_versions()
         if not self._isolation.is_settled:
             # The upstreams that this VM can use tell of its links.
             return
--- a/src/bramleyworks/gateway/registry.py
+++ b/src/bramleyworks/gateway/registry.py
@@ -57,11 +57,12 @@
         self.wishes = upstream_wishes.UpstreamWishes(clock)
         self._upstreams: dict[str, upstream_module.Upstream] = {}
         self._by_address: dict[tuple[str, int], upstream_module.Upstream] = {}
-        # Upstreams of each service by region, and their number by version.
+        # Upstreams of each service by region.
         self._by_service: dict[
             str, dict[str, list[upstream_module.Upstream]]
         ] = {}
-        self._versions: dict[str, collections.Counter[str]] = {}
+        # Numbers of upstreams by service and version, counted when needed.
+        self._version_counts: dict[str, collections.Counter[str]] = {}
         self._evacuated: set[str] = set()
         self._base_versions: dict[str, str] = {}
         self._rtt_s: dict[str, float] = {}
@@ -88,10 +89,8 @@
                 self._remove(known)
             return
         if known is not None and _is_same_place(known.instance, instance):
-            self._versions[instance.service].update(
-                {instance.version: 1, known.instance.version: -1}
-            )
             known.register(instance)
+            self._version_counts.pop(instance.service, None)
         else:
             if known is not None:
                 self._remove(known)
@@ -109,9 +108,7 @@
         self._by_service.setdefault(instance.service, {}).setdefault(
             self.region_of(added), []
         ).append(added)
-        self._versions.setdefault(
-            instance.service, collections.Counter()
-        ).update({instance.version: 1})
+        self._version_counts.pop(instance.service, None)
         logging.info(
             "upstream %s of %s added in %s with version %s",
             instance.id,
@@ -125,7 +122,7 @@
         del self._upstreams[instance.id]
         del self._by_address[instance.host, instance.port]
         self._by_service[instance.service][self.region_of(known)].remove(known)
-        self._versions[instance.service].update({instance.version: -1})
+        self._version_counts.pop(instance.service, None)
         self.wishes.forget_unknown_start(instance)
         known.close()
         logging.info("upstream %s removed", instance.id)
@@ -178,16 +175,34 @@
 
     def running_versions(self, service: str) -> set[str]:
         """Returns the versions that a service's upstreams run."""
-        counts = self._versions.get(service, {})
-        return {version for version, count in counts.items() if count > 0}
+        return set(self._count_versions(service))
+
+    def _count_versions(self, service: str) -> collections.Counter[str]:
+        """Returns the number of a service's upstreams by version."""
+        known = self._version_counts.get(service)
+        if known is None:
+            known = self._version_counts[service] = collections.Counter(
+                u.instance.version for u in self._upstreams_of(service)
+            )
+        return known
+
+    def _upstreams_of(self, service: str) -> Iterator[upstream_module.Upstream]:
+        for upstreams in self._by_service.get(service, {}).values():
+            yield from upstreams
+
+    @property
+    def services(self) -> Iterable[str]:
+        """Services that have, or had, upstreams."""
+        return self._by_service.keys()
 
     def base_version(
         self, service: str, undecided: str | None = None
     ) -> str | None:
         """Returns the version that serves while no move is ordered.
 
-        It is the one that most upstreams ran when the service was first seen;
-        upstreams of other versions get no requests until a move is ordered.
+        It is the one that most upstreams ran when the service was first seen,
+        of several the one that has run longest; upstreams of other versions
+        get no requests until a move is ordered.
 
         Args:
             service: Name of the service.
@@ -195,17 +210,26 @@
                 VM that starts during the move must not take it for the base.
         """
         known = self._base_versions.get(service)
-        if known is None and self.running_versions(service):
-            counts = self._versions[service]
+        counts = self._count_versions(service)
+        if known is None and counts:
+            oldest_ms: dict[str, int] = {}
+            for upstream in self._upstreams_of(service):
+                instance = upstream.instance
+                oldest_ms[instance.version] = min(
+                    instance.started_ms,
+                    oldest_ms.get(instance.version, instance.started_ms),
+                )
             known = max(
                 counts,
                 key=lambda version: (
-                    version != undecided and counts[version] > 0,
+                    version != undecided,
                     counts[version],
+                    -oldest_ms[version],
                     version,
                 ),
             )
-            self._base_versions[service] = known
+            if known != undecided:
+                self._base_versions[service] = known
         return known
 
     def set_base_version(self, service: str, version: str) -> None:
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -63,6 +63,54 @@
     assert found.base_version("desk") == "v1"
 
 
+def test_versions_run_after_registrations_have_changed():
+    """Guards against a service without requests once its upstreams are warm."""
+    found = make_registry(3)
+    for cold_left_s in (3.0, 1.5, 0.0):
+        for name in ("u0", "u1", "u2"):
+            found.register(name, make_instance(name, cold_left_s=cold_left_s))
+    assert found.running_versions("desk") == {"v1"}
+    assert found.base_version("desk") == "v1"
+
+
+def test_version_that_started_later_gets_nothing_before_a_move():
+    """Guards against requests at upstreams that no move has named."""
+    found = make_registry(3)
+    for number in (3, 4, 5):
+        name = f"u{number}"
+        found.register(name, make_instance(name, version="v2", started_ms=9))
+    for name in ("u0", "u1", "u2"):
+        found.register(name, make_instance(name, cold_left_s=1.0))
+    assert found.base_version("desk") == "v1"
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3),
+            strategies.sampled_from([None, "v1", "v2"]),
+            strategies.sampled_from(["desk", "gate"]),
+        ),
+        max_size=20,
+    )
+)
+def test_versions_are_those_of_the_registered_upstreams(changes):
+    """Guards against counts that differ from the registrations."""
+    found = make_registry(0)
+    for number, version, service in changes:
+        name = f"u{number}"
+        instance = version and make_instance(
+            name, version=version, service=service
+        )
+        found.register(name, instance)
+        for each in ("desk", "gate"):
+            assert found.running_versions(each) == {
+                u.instance.version
+                for u in found.all()
+                if u.instance.service == each
+            }
+
+
 def test_address_belongs_to_its_latest_registration():
     """A request must not go to the service that had an address before."""
     found = make_registry(2)
