--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import collections
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 
 import httptools
@@ -16,6 +19,9 @@
 MAX_PIPELINED_REQUESTS = 16
 # The kernel drops the connection if sent data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 5000
+# Time for the caller to close its side after the last response. A socket that
+# is closed before discards what the caller has not received yet.
+LINGER_S = 5.0
 # Discards unsent data and resets the connection on close.
 LINGER_DISABLED = struct.pack("ii", 1, 0)
 HTTP_VERSIONS = ("1.0", "1.1")
@@ -67,6 +73,8 @@
         self._head_started_s: float | None = None
         self._idle_since_s = clock()
         self._last_request = False
+        # When a connection that waits for the caller to close it is closed.
+        self._linger_ends_s: float | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._unparsed = b""
@@ -107,6 +115,8 @@
         """Parses received bytes, or holds them while the pipeline is full."""
         if self._last_request and self._incoming is None:
             return
+        if self._linger_ends_s is not None:
+            return
         if len(self._running) >= MAX_PIPELINED_REQUESTS:
             self._unparsed += data
             self._transport.pause_reading()
@@ -226,10 +236,26 @@
 
     @property
     def is_busy(self) -> bool:
+        if self._linger_ends_s is not None:
+            if now_s > self._linger_ends_s and not self._has_unsent():
+                self._transport.close()
+            return
         """Whether a request is in flight, or a response not yet sent."""
-        if self._running:
+        return bool(self._running) or self._has_unsent()
+
+    def _has_unsent(self) -> bool:
+        """Returns whether the caller's host has not received all responses."""
+        if self._transport.get_write_buffer_size() > 0:
             return True
-        return self._transport.get_write_buffer_size() > 0
+        sock = self._transport.get_extra_info("socket")
+        if (
+            self._linger_ends_s is None
+            or sock is None
+            or self._transport.is_closing()
+        ):
+            return False
+        unsent = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(unsent, sys.byteorder) > 0
 
     def _check_head(
         self, req: request_module.Request
@@ -326,17 +352,25 @@
         return True
 
     def _close(self) -> None:
-        """Closes the connection and cancels the requests still in flight."""
+        """Ends the responses and cancels the requests still in flight.
+
+        What the caller still sends is read and dropped until it closes, since
+        closing a socket with unread bytes resets the connection.
+        """
         self._last_request = True
         for _, task in self._running:
             if task is not None:
                 task.cancel()
         self._running.clear()
-        if not self._transport.is_closing():
-            self._transport.close()
+        if not self._transport.is_closing() and self._linger_ends_s is None:
+            self._linger_ends_s = self._clock() + LINGER_S
+            self._incoming = None
+            self._unparsed = b""
+            self._transport.write_eof()
+            self._transport.resume_reading()
 
     def _write(self, data: bytes) -> None:
-        if not self._transport.is_closing():
+        if not self._transport.is_closing() and self._linger_ends_s is None:
             self._transport.write(data)
 
     async def _drain(self) -> None:
