Ignore offers to upgrade a connection

Cause: the parser takes what follows such a head for another protocol. It ends the request without its body and raises an error when the handler has started.

A new parser now gets the framing of the request and reads on.

--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -78,6 +78,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._unparsed = b""
+        # Whether the parser gets the framing of a request that it has read.
+        self._is_reframing = False
 
     # Callbacks of the transport.
 
@@ -113,10 +115,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, or holds them while the pipeline is full."""
-        if self._last_request and self._incoming is None:
-            return
         if self._linger_ends_s is not None:
             return
+        if self._last_request and self._incoming is None:
+            return
         if len(self._running) >= MAX_PIPELINED_REQUESTS:
             self._unparsed += data
             self._transport.pause_reading()
@@ -130,8 +132,8 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, b"upgrades are not supported")
+        except httptools.HttpParserUpgrade as exc:
+            self._ignore_upgrade(data[exc.args[0] :])
         except httptools.HttpParserError as exc:
             self._refuse(400, str(exc).encode())
         else:
@@ -139,10 +141,37 @@
             if self._incoming is None and self._head_bytes > limit:
                 self._refuse(431, b"the request head is too long")
 
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Parses on behind a head that offers an upgrade.
+
+        The parser takes the bytes behind it for another protocol. A new one
+        gets the framing of the request, and then its body.
+
+        Args:
+            rest: Bytes received behind the head.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        req = self._incoming
+        if req is not None:
+            framing = (
+                b"transfer-encoding: chunked"
+                if req.length is None
+                else b"content-length: %d" % req.length
+            )
+            self._is_reframing = True
+            self._parser.feed_data(
+                b"POST / HTTP/1.1\r\n" + framing + b"\r\n\r\n"
+            )
+            self._is_reframing = False
+        if rest:
+            self._feed(rest)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Resets the parser state for a new request."""
+        if self._is_reframing:
+            return
         self._target = b""
         self._headers = []
         if self._head_started_s is None:
@@ -158,6 +187,8 @@
 
     def on_headers_complete(self) -> None:
         """Checks the request head and starts the request's handler."""
+        if self._is_reframing:
+            return
         self._head_started_s = None
         self._head_bytes = 0
         if self._last_request:
@@ -195,7 +226,7 @@
 
     def on_message_complete(self) -> None:
         """Marks the request's body as complete."""
-        if self._incoming is not None:
+        if self._incoming is not None and not self._parser.should_upgrade():
             self._incoming.finish()
             self._incoming = None
 
@@ -205,6 +236,10 @@
         """Closes the connection after a header or idle timeout."""
         now_s = self._clock()
         limits = self._limits()
+        if self._linger_ends_s is not None:
+            if now_s > self._linger_ends_s and not self._has_unsent():
+                self._transport.close()
+            return
         if self._running or self._transport.is_closing():
             return
         if self._head_started_s is not None:
@@ -236,10 +271,6 @@
 
     @property
     def is_busy(self) -> bool:
-        if self._linger_ends_s is not None:
-            if now_s > self._linger_ends_s and not self._has_unsent():
-                self._transport.close()
-            return
         """Whether a request is in flight, or a response not yet sent."""
         return bool(self._running) or self._has_unsent()
 
