--- a/tests/gateway/test_life.py
+++ b/tests/gateway/test_life.py
@@ -1,6 +1,8 @@
 """Configuration, registrations, moves, restarts and store outages."""
 
 import asyncio
+import pathlib
+import re
 import signal
 
 from soak import link as store_link
@@ -507,3 +509,28 @@
 
         await fleet.wait_until(reloaded, "the reload")
         assert (await fleet.send_request(vm))[0] == 200
+
+
+def holds_signal(vm):
+    """Returns whether the process of a VM has blocked SIGHUP."""
+    status = pathlib.Path(f"/proc/{vm.process.pid}/status").read_text()
+    blocked = int(re.search(r"SigBlk:\s+(\w+)", status).group(1), 16)
+    return blocked >> (signal.SIGHUP - 1) & 1
+
+
+async def test_reload_during_the_start_does_not_end_the_process(tmp_path):
+    """Guards against a signal that comes before its handler."""
+    async with platform_fleet.small_fleet(tmp_path) as fleet:
+        vm = await fleet.add_vm(wait=False)
+
+        async def is_starting():
+            return holds_signal(vm)
+
+        async def has_reloaded():
+            return any(e["event"] == "reload" for e in vm.events())
+
+        await fleet.wait_until(is_starting, "the start of the process")
+        vm.process.signal(signal.SIGHUP)
+        await fleet.wait_until(has_reloaded, "the reload")
+        await fleet.wait_until(lambda: fleet.is_ready(vm), vm.id)
+        assert vm.process.exit_code() is None
