Mend the race in the test of a leaving upstream behind a cut

The test waits for a response that says leaving to one of its own requests, which the VM that is cut off passes on.

Only responses to requests of the test say leaving now, so other callers do not change what the VMs know. What is checked is the same: nothing of the VM reaches u1 once its links are back.

--- a/tests/gateway/test_isolation.py
+++ b/tests/gateway/test_isolation.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import time
 
 import pytest
@@ -322,14 +323,18 @@
     async with _small_fleet(tmp_path) as (fleet, gate):
         vm = fleet.vms[0]
         await _isolate(fleet, gate, [vm])
+        # A VM that is told by one of its own callers passes nothing on to u1.
+        gate.leaving_prefix = "/stock/told"
         gate.leaving = {"u1"}
+        numbers = itertools.count()
 
         async def is_told():
-            _, headers, _, _ = await fleet.send_request(vm)
+            _, headers, _, _ = await fleet.send_request(
+                vm, f"/stock/told{next(numbers)}"
+            )
             return "Server-Leaving" in headers
 
         await fleet.wait_until(is_told, "a response of u1")
-        # Other VMs stop sending to it, so that only this one can.
         gate.leaving = set()
         gate.set_mode([vm], gated_upstream.OPEN, fleet.upstreams)
         await asyncio.sleep(RECOVERY_S)
--- a/tests/support/gated_upstream.py
+++ b/tests/support/gated_upstream.py
@@ -29,6 +29,7 @@
         cancelled: Requests whose VM disconnected before the response.
         work_s: Seconds for which each request runs.
         leaving: Names of upstreams that say that they leave.
+        leaving_prefix: Start of the targets whose responses say so.
     """
 
     def __init__(self):
@@ -37,6 +38,7 @@
         self.cancelled = 0
         self.work_s = WORK_S
         self.leaving = set()
+        self.leaving_prefix = "/"
         self._modes = {}
         self._opened = {}
         self._writers = {}
@@ -152,9 +154,10 @@
             raise ConnectionError
         seal = hashlib.sha256(request_id.encode()).hexdigest()[:12]
         body = f"{self.name} {request_id}".encode()
-        leaving = (
-            "Server-Leaving: 1\r\n" if self.name in self._gate.leaving else ""
-        )
+        says_leaving = self.name in self._gate.leaving and first.split()[
+            1
+        ].startswith(self._gate.leaving_prefix)
+        leaving = "Server-Leaving: 1\r\n" if says_leaving else ""
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\n"
