--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -100,7 +100,9 @@
         self._cluster = cluster_state_module.ClusterState(
             settings.region, settings.regions, log, clock
         )
-        self._removals = removal_grace.RemovalGrace(self._apply_change, clock)
+        self._removals = removal_grace.RemovalGrace(
+            self._apply_change, log, clock
+        )
         self._replica = store_replica_module.StoreReplica(
             self._apply_item, wire_updates.compare
         )
--- a/src/bramleyworks/gateway/removal_grace.py
+++ b/src/bramleyworks/gateway/removal_grace.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from bramleyworks.gateway import event_log
 from bramleyworks.platform import kv_item
 from bramleyworks.platform import store_keys
 
@@ -20,15 +21,18 @@
     def __init__(
         self,
         apply: Callable[[kv_item.KvItem], None],
+        log: event_log.EventLog,
         clock: Callable[[], float],
     ):
         """Initializes the grace as over.
 
         Args:
             apply: Applies a change to the state of this VM.
+            log: Event log.
             clock: Monotonic time in seconds.
         """
         self._apply = apply
+        self._log = log
         self._clock = clock
         self._recovered_s: float | None = None
         self._is_outage = False
@@ -59,6 +63,13 @@
             and item.key.startswith(store_keys.UPSTREAMS)
         ):
             self._delayed[item.key] = due_s, item
+            self._log.write(
+                "upstream.removal_delayed",
+                upstream=item.key.removeprefix(store_keys.UPSTREAMS),
+                revision=item.revision,
+                delay_s=round(due_s - self._clock(), 2),
+                store_away=self._is_outage,
+            )
         else:
             self._apply(item)
 
--- a/src/bramleyworks/gateway/store_sync.py
+++ b/src/bramleyworks/gateway/store_sync.py
@@ -370,6 +370,7 @@
             peer=address,
             revision=self._replica.position.revision,
             changes=changes,
+            exact=self._replica.is_exact,
         )
 
 
--- a/tests/gateway/test_base_version.py
+++ b/tests/gateway/test_base_version.py
@@ -1,5 +1,6 @@
 """Which version serves when a move is over."""
 
+import contextlib
 import time
 
 from bramleyworks.gateway import cluster_state
@@ -25,15 +26,20 @@
     )
 
 
-def test_service_keeps_its_version_before_a_configuration_names_it(tmp_path):
-    """Guards against requests at upstreams that no move has named."""
+@contextlib.contextmanager
+def _cluster(tmp_path):
     with open(tmp_path / "log", "wb") as out:
-        cluster = cluster_state.ClusterState(
+        yield cluster_state.ClusterState(
             "one",
             {"one-a": "one"},
             event_log.EventLog("vm1", out.fileno()),
             time.monotonic,
         )
+
+
+def test_service_keeps_its_version_before_a_configuration_names_it(tmp_path):
+    """Guards against requests at upstreams that no move has named."""
+    with _cluster(tmp_path) as cluster:
         for name, version in (("i1", "v1"), ("i2", "v2"), ("i3", "v2")):
             cluster.apply(
                 store_updates.InstanceUpdate(name, _instance(name, version), 1)
@@ -44,13 +50,7 @@
 
 def test_vm_that_started_with_the_target_only_finds_the_old_version(tmp_path):
     """Guards against the target of a move that is taken for the old version."""
-    with open(tmp_path / "log", "wb") as out:
-        cluster = cluster_state.ClusterState(
-            "one",
-            {"one-a": "one"},
-            event_log.EventLog("vm1", out.fileno()),
-            time.monotonic,
-        )
+    with _cluster(tmp_path) as cluster:
         order = move_order.MoveOrder("desk", "v2", 8.0)
         cluster.apply(store_updates.MoveOrderUpdate("desk", order))
         for name, version in (("i1", "v2"), ("i2", "v1")):
@@ -65,13 +65,7 @@
 
 def test_vm_that_started_during_a_move_returns_to_the_old_version(tmp_path):
     """Guards against refusing all requests once order and state are gone."""
-    with open(tmp_path / "log", "wb") as out:
-        cluster = cluster_state.ClusterState(
-            "one",
-            {"one-a": "one"},
-            event_log.EventLog("vm1", out.fileno()),
-            time.monotonic,
-        )
+    with _cluster(tmp_path) as cluster:
         order = move_order.MoveOrder("desk", "v2", 8.0)
         cluster.apply(store_updates.MoveOrderUpdate("desk", order))
         for name, version in (
--- a/tests/gateway/test_pipelined_responses.py
+++ b/tests/gateway/test_pipelined_responses.py
@@ -3,16 +3,12 @@
 import asyncio
 import contextlib
 import re
-import time
 
 import pytest
+from support import front
 from support import platform_fleet
-from support import ports
 from support import raw_upstream
 
-from bramleyworks.gateway import front_server
-from bramleyworks.gateway import limits
-
 SLOW_WORK_MS = 900
 # Above what is read before the head of a response is written.
 LARGE_BYTES = 400_000
@@ -134,20 +130,6 @@
     assert statuses == [200] * 12
 
 
-@contextlib.asynccontextmanager
-async def front(handle):
-    """Runs a server for callers; yields it with a connection to it."""
-    address = f"127.0.0.1:{ports.free_port()}"
-    server = front_server.FrontServer(handle, limits.Limits, time.monotonic)
-    async with contextlib.AsyncExitStack() as stack:
-        await server.open(address)
-        stack.push_async_callback(server.close)
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        stack.callback(writer.close)
-        yield server, reader, writer
-
-
 async def test_stop_answers_the_requests_behind_the_first_response():
     """Guards against a planned stop that cuts off pipelined requests."""
     is_draining = asyncio.Event()
@@ -161,7 +143,7 @@
 
         return asyncio.create_task(write())
 
-    async with front(respond) as (server, reader, writer):
+    async with front.connection(respond) as (server, reader, writer):
         for target in (b"/1", b"/2", b"/3"):
             writer.write(b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target)
         await asyncio.sleep(0.1)
@@ -188,7 +170,7 @@
 
         return asyncio.create_task(write())
 
-    async with front(respond) as (_, reader, writer):
+    async with front.connection(respond) as (_, reader, writer):
         for target in (b"/1", b"/2"):
             writer.write(b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target)
         received = await reader.read(-1)
@@ -210,7 +192,7 @@
 
         return asyncio.create_task(write())
 
-    async with front(respond) as (_, reader, writer):
+    async with front.connection(respond) as (_, reader, writer):
         for target in (b"/1", b"/2"):
             writer.write(b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target)
         await asyncio.sleep(0.5)
--- a/tests/gateway/test_removal_grace.py
+++ b/tests/gateway/test_removal_grace.py
@@ -1,5 +1,7 @@
 """Delayed removals of upstreams around an outage of the store."""
 
+from unittest import mock
+
 from bramleyworks.gateway import removal_grace
 from bramleyworks.platform import kv_item
 
@@ -15,7 +17,7 @@
         self.now_s = 100.0
         self.applied = []
         self.grace = removal_grace.RemovalGrace(
-            self.applied.append, lambda: self.now_s
+            self.applied.append, mock.Mock(), lambda: self.now_s
         )
 
     def advance(self, seconds):
--- a/tests/gateway/test_stop_with_slow_caller.py
+++ b/tests/gateway/test_stop_with_slow_caller.py
@@ -4,14 +4,14 @@
 import contextlib
 import time
 
-from support import ports
+from support import front
 
 from bramleyworks.gateway import front_conn
-from bramleyworks.gateway import front_server
 from bramleyworks.gateway import limits
 
 # More than the socket buffers hold.
 BODY = b"x" * 20_000_000
+REQUEST = b"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"
 
 
 def respond(req, res):
@@ -24,15 +24,8 @@
 
 async def test_connection_is_busy_until_its_response_has_been_sent():
     """Guards against a stop that cuts off a response in the send buffer."""
-    address = f"127.0.0.1:{ports.free_port()}"
-    server = front_server.FrontServer(respond, limits.Limits, time.monotonic)
-    async with contextlib.AsyncExitStack() as stack:
-        await server.open(address)
-        stack.push_async_callback(server.close)
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        stack.callback(writer.close)
-        writer.write(b"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+    async with front.connection(respond) as (server, reader, writer):
+        writer.write(REQUEST)
         await asyncio.sleep(0.3)
         assert server.busy_conns == 1
         received = b""
@@ -45,23 +38,12 @@
 
 async def test_request_that_crosses_the_close_does_not_reset_it():
     """Guards against a response that is lost because its caller sends on."""
-    address = f"127.0.0.1:{ports.free_port()}"
-    server = front_server.FrontServer(respond, limits.Limits, time.monotonic)
-    async with contextlib.AsyncExitStack() as stack:
-        await server.open(address)
-        stack.push_async_callback(server.close)
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(
-            host, int(port), limit=16_384
-        )
-        stack.callback(writer.close)
-        request = b"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"
-        writer.write(request)
+    async with front.connection(respond, limit=16_384) as (_, reader, writer):
+        writer.write(REQUEST)
         received = b""
         while chunk := await reader.read(200_000):
             received += chunk
-            if not len(received) % 5:
-                writer.write(request)
+            writer.write(REQUEST)
             await asyncio.sleep(0.005)
         assert received.count(b"HTTP/1.1 200") == 1
         assert received.endswith(BODY)
@@ -88,7 +70,7 @@
         port = server.sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         stack.callback(writer.close)
-        writer.write(b"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        writer.write(REQUEST)
         assert (await reader.read(-1)).endswith(BODY)
         assert not closed.is_set()
         await asyncio.sleep(0.3)
--- a/tests/gateway/test_upgrade_offers.py
+++ b/tests/gateway/test_upgrade_offers.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import contextlib
-import time
 
 import pytest
-from support import ports
+from support import front
 
-from bramleyworks.gateway import front_server
 from bramleyworks.gateway import limits
 
 OFFER = (
@@ -27,19 +25,6 @@
     return asyncio.create_task(write())
 
 
-@contextlib.asynccontextmanager
-async def connection():
-    address = f"127.0.0.1:{ports.free_port()}"
-    server = front_server.FrontServer(respond, limits.Limits, time.monotonic)
-    async with contextlib.AsyncExitStack() as stack:
-        await server.open(address)
-        stack.push_async_callback(server.close)
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        stack.callback(writer.close)
-        yield reader, writer
-
-
 async def receive(reader, wait_s=0.3):
     """Returns all that arrives until nothing more does."""
     received = b""
@@ -68,7 +53,7 @@
     """Guards against a 400 that belongs to no request, and lost bodies."""
     sent = method + b" /offer HTTP/1.1\r\nHost: a\r\n" + OFFER + framing
     sent = (sent + PLAIN) * 2
-    async with connection() as (reader, writer):
+    async with front.connection(respond) as (_, reader, writer):
         for start in range(0, len(sent), piece):
             writer.write(sent[start : start + piece])
             await asyncio.sleep(0)
@@ -81,7 +66,7 @@
 
 async def test_tunnel_is_refused_once():
     """Guards against a second answer to a request that is refused."""
-    async with connection() as (reader, writer):
+    async with front.connection(respond) as (_, reader, writer):
         writer.write(b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n" + PLAIN)
         received = await receive(reader)
     assert received.count(b"HTTP/1.1 ") == 1
@@ -91,7 +76,7 @@
 async def test_body_with_an_offer_that_is_too_long_is_refused():
     """Guards against bodies that pass the limit behind an offer."""
     size = limits.Limits().body_bytes + 1
-    async with connection() as (reader, writer):
+    async with front.connection(respond) as (_, reader, writer):
         writer.write(
             b"POST /offer HTTP/1.1\r\nHost: a\r\n"
             + OFFER
