Keep the responses before a body that turns out malformed

When a request was answered before its body had arrived, a malformed rest of the body aborted the connection while earlier responses were still due. The answered request now ends the connection in its turn.

--- a/src/bramleyworks/gateway/front_conn.py
+++ b/src/bramleyworks/gateway/front_conn.py
@@ -343,7 +343,13 @@
         if self._incoming is not None:
             # The handler of this request must not receive the rest of its body.
             self._incoming = None
+            if not self._running:
+                # It has been answered; a second response would be another's.
+                self._close()
+                return
             current, task = self._running[-1]
+            if current.ended:
+                return
             task.cancel()
             current.discard()
             if current.started:
@@ -370,6 +376,9 @@
                 return
             if self._running:
                 self._running[0][0].flush()
+        if self._last_request and self._incoming is None and not self._running:
+            self._close()
+            return
         if self._unparsed and len(self._running) < MAX_PIPELINED_REQUESTS:
             data, self._unparsed = self._unparsed, b""
             self._transport.resume_reading()
--- a/tests/gateway/test_pipelined_responses.py
+++ b/tests/gateway/test_pipelined_responses.py
@@ -199,3 +199,30 @@
         received = await reader.read(-1)
     assert received.count(b"x" * 5_000_000) == 1
     assert received.endswith(b"\r\n\r\n")
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.3], ids=["sent", "waiting"])
+async def test_malformed_body_behind_its_response_gets_no_second_one(delay_s):
+    """Guards against a response that belongs to no request."""
+
+    def respond(req, res):
+        async def write():
+            if req.target == b"/first":
+                await asyncio.sleep(delay_s)
+            req.discard()
+            res.write_complete(200, [], req.target, close=False)
+
+        return asyncio.create_task(write())
+
+    async with front.connection(respond) as (_, reader, writer):
+        writer.write(b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write(
+            b"POST /early HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"
+        )
+        await asyncio.sleep(0.1)
+        writer.write(b"cdeX no chunk\r\n")
+        async with asyncio.timeout(2.0):
+            received = await reader.read(-1)
+    assert received.count(b"HTTP/1.1 ") == 2
+    assert received.endswith(b"/early")
