Log what a refusal by an organisation's rate was based on

The line of such a request now has the rate, the demand and the level as the VM knew them, its share, and the age of the reports; bramleyworks explain prints them. No decision changes. tests/gateway/test_explain.py (processes) passes.

--- a/src/bramleyworks/cli/report.py
+++ b/src/bramleyworks/cli/report.py
@@ -95,6 +95,8 @@
     )
     if req["reason"]:
         yield f"  reason: {req['reason']}"
+    if "limit" in req:
+        yield f"  {_format_limit(req['limit'])}"
     if not req["tried"]:
         yield "  sent to no upstream"
     for number, attempt in enumerate(req["tried"], 1):
@@ -123,6 +125,18 @@
         )
 
 
+def _format_limit(limit: dict) -> str:
+    reported = "no report yet"
+    if limit["age_s"] is not None:
+        reported = f"reports {limit['age_s']} s old"
+    return (
+        f"limit: {limit['rate_per_s']} requests/s, {limit['demand_per_s']}"
+        f" demanded; {limit['level']} left for {limit['vms']} VMs and"
+        f" {limit['unreachable']} unreachable, a share of {limit['share']} for"
+        f" this VM, {limit['pending']} not reported; {reported}"
+    )
+
+
 def _format_vm_state(explanation: explanation_lib.Explanation) -> Iterable[str]:
     version = explanation.request["config"]
     if explanation.in_force is None:
--- a/src/bramleyworks/gateway/admission.py
+++ b/src/bramleyworks/gateway/admission.py
@@ -92,6 +92,7 @@
         if organisation is not None and proxied is None:
             wait_s = self._quotas.admit(organisation)
             if wait_s > 0:
+                trace.limit = self._quotas.state(organisation.name)
                 raise refused.RefusedError(
                     429, "the organisation's rate is used up", wait_s
                 )
--- a/src/bramleyworks/gateway/exchange.py
+++ b/src/bramleyworks/gateway/exchange.py
@@ -656,6 +656,8 @@
         label = f"proxied {trace.route}" if trace.is_proxied else trace.route
         self._record_response(label, trace.status, elapsed_s)
         config = self._cluster.config
+        # Only refusals by a limit have its state; most lines go without.
+        limit = {} if trace.limit is None else {"limit": trace.limit}
         self._log.write(
             "request",
             id=(req.get(header_names.REQUEST_ID) or b"-").decode("latin-1"),
@@ -669,6 +671,7 @@
             tried=trace.tried,
             ms=round(elapsed_s * 1000, 1),
             proxied=trace.is_proxied,
+            **limit,
         )
 
 
--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -96,6 +96,11 @@
         limit = self._limit(organisation)
         return limit.admit(now_s)
 
+    def state(self, organisation: str) -> shared_limit.LimitState | None:
+        """Returns the state of a limit, None if there is none."""
+        limit = self._limits.get(organisation)
+        return None if limit is None else limit.state(self._clock())
+
     def prepare(
         self, organisations: Mapping[str, organisation_module.Organisation]
     ) -> None:
--- a/src/bramleyworks/gateway/trace.py
+++ b/src/bramleyworks/gateway/trace.py
@@ -8,6 +8,7 @@
 from bramleyworks.gateway import upstream as upstream_module
 from bramleyworks.policy import isolation
 from bramleyworks.policy import placement
+from bramleyworks.policy import shared_limit
 
 OUTCOME_PENDING = "open"
 
@@ -25,6 +26,7 @@
         status: Status code of the response, 0 if there was none.
         reason: Reason of a response other than an upstream's success.
         is_proxied: Whether another VM passed the request on.
+        limit: State of the organisation's limit if that refused the request.
     """
 
     route: str = "-"
@@ -35,6 +37,7 @@
     status: int = 0
     reason: str = ""
     is_proxied: bool = False
+    limit: shared_limit.LimitState | None = None
 
 
 @contextlib.contextmanager
--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -50,6 +50,32 @@
     demand_per_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitState:
+    """What a decision about a request was based on.
+
+    Attributes:
+        rate_per_s: Requests per second for all VMs together.
+        demand_per_s: Requests per second that all VMs reported lately.
+        level: Requests that all VMs together may still admit.
+        share: Fraction of the level that this VM may use.
+        pending: Requests that this VM admitted and peers do not know yet.
+        vms: Number of VMs and summaries that report, with this one.
+        unreachable: Number of further VMs, whose reports are missing.
+        age_s: Seconds since the reports were last taken into account, None
+            before the first time.
+    """
+
+    rate_per_s: float
+    demand_per_s: float
+    level: float
+    share: float
+    pending: int
+    vms: int
+    unreachable: int
+    age_s: float | None
+
+
 class SharedLimit:
     """A VM's view of a shared limit.
 
@@ -90,6 +116,10 @@
         self._even_share = 0.0
         self._is_relaxed = True
         self._reporting_fraction = 1.0
+        self._demand_per_s = 0.0
+        self._reporting = 0
+        self._unreachable = 0
+        self._updated_s: float | None = None
 
     @property
     def admitted(self) -> int:
@@ -138,6 +168,10 @@
         self._level = max(floor, self._level - spent)
         self._even_share = 1.0 / vms
         total_demand = own.demand_per_s + peers.demand_per_s
+        self._demand_per_s = total_demand
+        self._reporting = reporting
+        self._unreachable = unreachable
+        self._updated_s = now_s
         self._is_relaxed = total_demand <= (
             RELAXED_MAX_DEMAND * self._rate
             + RELAXED_EXCESS_PER_S * self._excess
@@ -171,6 +205,23 @@
         missing = 1.0 + max(0.0, -self._level)
         return missing / max(1e-3, self._rate)
 
+    def state(self, now_s: float) -> LimitState:
+        """Returns what decides about requests at this time."""
+        return LimitState(
+            rate_per_s=self._rate,
+            demand_per_s=round(self._demand_per_s, 1),
+            level=round(self._level, 2),
+            share=round(self._share, 4),
+            pending=self._own_admitted - self._own_reported,
+            vms=self._reporting + 1,
+            unreachable=self._unreachable,
+            age_s=(
+                None
+                if self._updated_s is None
+                else round(now_s - self._updated_s, 2)
+            ),
+        )
+
     def refund(self) -> None:
         """Returns the token of a request that was admitted but did not run."""
         if self._own_admitted > self._own_reported:
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -87,6 +87,24 @@
     assert in_force[-1]["time"] <= line["time"]
 
 
+async def test_inputs_of_a_refusal_by_rate(tmp_path):
+    async with platform_fleet.Fleet(tmp_path) as fleet:
+        config = platform_fleet.config(1, rate=1, burst=1)
+        await fleet.write_store({"op/config": config})
+        await fleet.add_upstream("u1")
+        vm = await fleet.add_vm()
+        await asyncio.sleep(1.0)
+        responses = [await fleet.send_request(vm) for _ in range(40)]
+        refused = next(a for a in responses if a[0] == 429)
+        await asyncio.sleep(0.3)
+        line = single(vm.requests(refused[3]))
+        text = explain(tmp_path, refused[3])
+    assert "limit: 1.0 requests/s" in text
+    assert line["limit"]["rate_per_s"] == 1.0
+    assert line["limit"]["vms"] == 1
+    assert line["limit"]["age_s"] is not None
+
+
 async def test_upstream_of_a_request_past_its_deadline(tmp_path):
     async with platform_fleet.small_fleet(tmp_path, upstreams=1) as fleet:
         vm = fleet.vms[0]
