Admit an organisation's rate in sum however many VMs share it

Callers of an organisation above its rate got far less than the rate from a large fleet: at 195 VMs 0.21 to 0.45 of it (organisations of 3 and 12 requests/s that send 4.3 times as much; model with regions and relays), and less the longer it lasted.

Cause: a VM admitted the first request since its last report if its share of the level exceeded a random threshold, which it kept until a request was admitted. The shares add up to one over all VMs, but only the few VMs that get a request use theirs, and a VM with a high threshold refused for good.

The probability of a first request is now the same at all VMs: the level divided by the requests that all of them expect until their reports arrive. The level settles where that admits the rate. Not in the first 3 s of a VM, which does not know the demand.

--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -192,6 +192,7 @@
                 reporting=self._peers.peer_count,
                 unreachable=unreachable_vms,
                 now_s=now_s,
+                report_delay_s=lag_s,
             )
 
 
--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -3,9 +3,12 @@
 Each VM estimates the level of one common token bucket from the counts that it
 has received from all VMs. The others do not know what it has admitted since its
 last report, so until the next one a VM may admit only its share of the level.
-A level below zero is refilled before anything else is admitted. The design case
-is an organisation that suddenly sends eight times its usual rate through all
-VMs, with a limit of 1.6 times its usual rate.
+A level below zero is refilled before anything else is admitted. Where shares
+are below one request, which VM receives the next request is not known, and each
+VM admits the first one with the probability that admits the rate in sum. The
+design cases are an organisation that suddenly sends eight times its usual rate
+through all VMs, with a limit of 1.6 times its usual rate, and one that goes on
+to send several times its limit through hundreds of VMs.
 """
 
 import dataclasses
@@ -32,6 +35,8 @@
 # Maximum time for which an excess is paid back; bounds how far below zero the
 # level may fall.
 MAX_DEBT_S = 5.0
+# Time after its start in which a VM does not know the demand on the others.
+UNKNOWN_DEMAND_S = 3.0
 # Level, as a fraction of the bucket, that a VM assumes before it knows the
 # usage of the others.
 INITIAL_LEVEL = 0.25
@@ -59,6 +64,7 @@
         demand_per_s: Requests per second that all VMs reported lately.
         level: Requests that all VMs together may still admit.
         share: Fraction of the level that this VM may use.
+        first_chance: Probability of admitting a request if none is pending.
         pending: Requests that this VM admitted and peers do not know yet.
         vms: Number of VMs and summaries that report, with this one.
         unreachable: Number of further VMs, whose reports are missing.
@@ -70,6 +76,7 @@
     demand_per_s: float
     level: float
     share: float
+    first_chance: float
     pending: int
     vms: int
     unreachable: int
@@ -101,10 +108,6 @@
             draw: Returns a random number below 1.
         """
         self._draw = draw
-        # Share from which the next request is admitted. The shares of many VMs
-        # are below one request each; with random thresholds they admit in sum
-        # what the level allows instead of nothing.
-        self._threshold = draw()
         self._rate = rate_per_s
         self._burst = burst
         self._excess = excess
@@ -120,6 +123,8 @@
         self._reporting = 0
         self._unreachable = 0
         self._updated_s: float | None = None
+        self._created_s = now_s
+        self._report_delay_s = 0.0
 
     @property
     def admitted(self) -> int:
@@ -146,6 +151,7 @@
         reporting: int,
         unreachable: int,
         now_s: float,
+        report_delay_s: float,
     ) -> None:
         """Updates the level and this VM's share from the peers' reports.
 
@@ -158,7 +164,9 @@
             unreachable: Number of further peers that may admit requests but
                 whose reports are not received.
             now_s: Monotonic time in seconds.
+            report_delay_s: Time until all peers know what this VM admits.
         """
+        self._report_delay_s = report_delay_s
         vms = reporting + 1 + unreachable
         self._reporting_fraction = (reporting + 1) / vms
         spent = own.admitted - self._own_reported + peers.admitted
@@ -197,10 +205,9 @@
                 RELAXED_MIN_REQUESTS, spread, RELAXED_SHARE_FACTOR * fair
             )
         if pending + 1 <= allowed or (
-            not pending and self._threshold <= allowed
+            not pending and self._draw() < self._first_chance(now_s)
         ):
             self._own_admitted += 1
-            self._threshold = self._draw()
             return 0.0
         missing = 1.0 + max(0.0, -self._level)
         return missing / max(1e-3, self._rate)
@@ -212,6 +219,7 @@
             demand_per_s=round(self._demand_per_s, 1),
             level=round(self._level, 2),
             share=round(self._share, 4),
+            first_chance=round(self._first_chance(now_s), 3),
             pending=self._own_admitted - self._own_reported,
             vms=self._reporting + 1,
             unreachable=self._unreachable,
@@ -227,6 +235,16 @@
         if self._own_admitted > self._own_reported:
             self._own_admitted -= 1
 
+    def _first_chance(self, now_s: float) -> float:
+        """Returns the probability of admitting a request if none is pending.
+
+        It is the same at all VMs, however few requests each of them receives.
+        """
+        expected = self._demand_per_s * self._report_delay_s
+        if expected <= 0.0 or now_s - self._created_s < UNKNOWN_DEMAND_S:
+            return self._share * self._level
+        return self._level / expected
+
     def _refill(self, now_s: float) -> None:
         """Refills the bucket; VMs that do not report use their part of it."""
         elapsed_s = max(0.0, now_s - self._refilled_s)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from support import quota_fleet
 
 from bramleyworks.gateway import organisation
 from bramleyworks.gateway import quotas
@@ -105,3 +106,18 @@
     restarted = quotas.Quotas(WINDOW_S, OVER, SLACK, lambda: now[0])
     admitted = sum(restarted.admit(org) == 0.0 for _ in range(500))
     assert admitted <= 0.75 * 100 + SLACK
+
+
+@pytest.mark.parametrize("vms", [9, 27, 195])
+@pytest.mark.parametrize("usual", [3.0, 12.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_organisation_above_its_rate_gets_its_rate_from_many_vms(
+    vms, usual, seed
+):
+    limit = 1.6 * usual
+    fleet = quota_fleet.QuotaFleet(vms, limit, seed)
+    decisions = fleet.run(
+        lambda at_s: usual if at_s < 8 else 4.3 * usual, seconds=23
+    )
+    assert quota_fleet.admitted(decisions, 11, 23) >= 0.8 * limit * 12
+    assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
