Do not let the level of a limit hide what is not reported yet

Cause: the level counts requests only once they are reported, 1.5 s later in a large fleet, and was capped at the bucket meanwhile. So no more than one bucket could be spent in that time, and what was refilled beyond it was lost. The cap now has room for what is probably not reported yet; VMs exceed their shares by the level without it, as before.

--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -35,6 +35,8 @@
 # Maximum time for which an excess is paid back; bounds how far below zero the
 # level may fall.
 MAX_DEBT_S = 5.0
+# Time constant of the average of what all VMs admit.
+SPENT_TIME_CONSTANT_S = 2.0
 # Time after its start in which a VM does not know the demand on the others.
 UNKNOWN_DEMAND_S = 3.0
 # Level, as a fraction of the bucket, that a VM assumes before it knows the
@@ -124,6 +126,7 @@
         self._unreachable = 0
         self._updated_s: float | None = None
         self._created_s = now_s
+        self._spent_per_s = 0.0
         self._report_delay_s = 0.0
 
     @property
@@ -142,7 +145,7 @@
         self._rate = rate_per_s
         self._excess = excess
         self._burst = burst
-        self._level = min(self._level, burst)
+        self._level = min(self._level, burst + self._unreported())
 
     def update(
         self,
@@ -171,6 +174,7 @@
         self._reporting_fraction = (reporting + 1) / vms
         spent = own.admitted - self._own_reported + peers.admitted
         self._own_reported = own.admitted
+        self._measure_spending(spent, now_s)
         self._refill(now_s)
         floor = -self._burst - MAX_DEBT_S * self._rate
         self._level = max(floor, self._level - spent)
@@ -198,8 +202,9 @@
         self._refill(now_s)
         pending = self._own_admitted - self._own_reported
         allowed = self._share * self._level
-        if self._is_relaxed and self._level >= RELAXED_MIN_LEVEL * self._burst:
-            fair = max(self._share, self._even_share) * self._level
+        free = self._level - self._unreported()
+        if self._is_relaxed and free >= RELAXED_MIN_LEVEL * self._burst:
+            fair = max(self._share, self._even_share) * free
             spread = RELAXED_EXCESS_FACTOR * self._excess * self._even_share
             allowed = max(
                 RELAXED_MIN_REQUESTS, spread, RELAXED_SHARE_FACTOR * fair
@@ -245,12 +250,26 @@
             return self._share * self._level
         return self._level / expected
 
+    def _measure_spending(self, spent: int, now_s: float) -> None:
+        """Updates the average of what all VMs admit per second."""
+        elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
+        if elapsed_s > 0.0:
+            smoothing = min(1.0, elapsed_s / SPENT_TIME_CONSTANT_S)
+            spent_per_s = spent / elapsed_s
+            self._spent_per_s += smoothing * (spent_per_s - self._spent_per_s)
+
+    def _unreported(self) -> float:
+        """Returns how many admitted requests are probably not reported yet."""
+        return min(self._rate, self._spent_per_s) * self._report_delay_s
+
     def _refill(self, now_s: float) -> None:
         """Refills the bucket; VMs that do not report use their part of it."""
         elapsed_s = max(0.0, now_s - self._refilled_s)
         self._refilled_s = now_s
         added = elapsed_s * self._rate * self._reporting_fraction
-        self._level = min(self._burst, self._level + added)
+        # Requests that are not reported yet will be taken off later.
+        most = self._burst + self._unreported()
+        self._level = min(most, self._level + added)
 
 
 def _own_share(
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -109,7 +109,7 @@
 
 
 @pytest.mark.parametrize("vms", [9, 27, 195])
-@pytest.mark.parametrize("usual", [3.0, 12.0])
+@pytest.mark.parametrize("usual", [3.0, 12.0, 60.0])
 @pytest.mark.parametrize("seed", range(3))
 def test_organisation_above_its_rate_gets_its_rate_from_many_vms(
     vms, usual, seed
