Admit requests by rate while a VM does not hear the others yet

Cause: a VM that starts knows no demand, so its share was zero or a part of one in 195 of a level that starts at a quarter of the bucket and refills only as far as peers report. Small organisations got nothing until the first full round of heartbeats.

For the first 3 s a VM assumes that 2.5 times the rate is asked for, and admits a first request with the probability that keeps the rate then. The level still counts what is reported.

--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -37,8 +37,13 @@
 MAX_DEBT_S = 5.0
 # Time constant of the average of what all VMs admit.
 SPENT_TIME_CONSTANT_S = 2.0
-# Time after its start in which a VM does not know the demand on the others.
+# Time after its start in which a VM does not know the demand on the others, and
+# the demand, as a multiple of the rate, that it assumes at least. With less a
+# VM would admit too much if it starts together with all others during a burst.
 UNKNOWN_DEMAND_S = 3.0
+ASSUMED_DEMAND = 2.5
+# Time until peers know of a request, assumed before the first update.
+ASSUMED_REPORT_DELAY_S = 1.0
 # Level, as a fraction of the bucket, that a VM assumes before it knows the
 # usage of the others.
 INITIAL_LEVEL = 0.25
@@ -127,7 +132,7 @@
         self._updated_s: float | None = None
         self._created_s = now_s
         self._spent_per_s = 0.0
-        self._report_delay_s = 0.0
+        self._report_delay_s = ASSUMED_REPORT_DELAY_S
 
     @property
     def admitted(self) -> int:
@@ -245,10 +250,15 @@
 
         It is the same at all VMs, however few requests each of them receives.
         """
-        expected = self._demand_per_s * self._report_delay_s
-        if expected <= 0.0 or now_s - self._created_s < UNKNOWN_DEMAND_S:
-            return self._share * self._level
-        return self._level / expected
+        demand_per_s = self._demand_per_s
+        supply = self._level
+        if now_s - self._created_s < UNKNOWN_DEMAND_S:
+            demand_per_s = max(demand_per_s, ASSUMED_DEMAND * self._rate)
+            if self._level > 0.0:
+                # The level refills only as far as peers report.
+                supply += self._rate * self._report_delay_s
+        expected = demand_per_s * self._report_delay_s
+        return supply / expected if expected > 0.0 else 1.0
 
     def _measure_spending(self, spent: int, now_s: float) -> None:
         """Updates the average of what all VMs admit per second."""
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -121,3 +121,31 @@
     )
     assert quota_fleet.admitted(decisions, 11, 23) >= 0.8 * limit * 12
     assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
+
+
+@pytest.mark.parametrize("vms", [9, 27, 195])
+@pytest.mark.parametrize("usual", [3.0, 12.0, 60.0])
+def test_restart_of_all_vms_does_not_refuse_organisations_below_their_rates(
+    vms, usual
+):
+    decisions = []
+    for seed in range(4):
+        fleet = quota_fleet.QuotaFleet(vms, 1.6 * usual, seed)
+        decisions += fleet.run(
+            lambda _: usual, seconds=12, restart_s=10, silent_s=1.0
+        )
+    assert quota_fleet.share_admitted(decisions, 10, 12) >= 0.25
+
+
+@pytest.mark.parametrize("vms", [9, 27, 195])
+@pytest.mark.parametrize("usual", [3.0, 12.0, 60.0])
+@pytest.mark.parametrize("seed", range(2))
+def test_restart_of_all_vms_keeps_the_limit_of_an_organisation_above_it(
+    vms, usual, seed
+):
+    limit = 1.6 * usual
+    fleet = quota_fleet.QuotaFleet(vms, limit, seed)
+    decisions = fleet.run(
+        lambda _: 4.3 * usual, seconds=16, restart_s=10, silent_s=1.0
+    )
+    assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -56,6 +56,7 @@
         if not is_full_mesh:
             self._lag_s += MIN_SUMMARY_INTERVAL_S
         self._life = 0
+        self._silent_until_s = 0.0
         self._restart()
 
     def run(
@@ -63,6 +64,7 @@
         rate_at: Callable[[float], float],
         seconds: float,
         restart_s: float | None = None,
+        silent_s: float = 0.0,
     ) -> list[Decision]:
         """Sends requests to random VMs and returns the decisions.
 
@@ -70,6 +72,7 @@
             rate_at: Returns the requests per second at a time.
             seconds: Length of the run.
             restart_s: Time at which all VMs start anew, None for never.
+            silent_s: Time after it in which VMs do not hear each other.
         """
         steps: list[tuple[float, int, Callable[[], None], float]] = []
 
@@ -92,6 +95,7 @@
                 if restart_s is not None and at_s >= restart_s:
                     self._now_s, restart_s = restart_s, None
                     self._restart()
+                    self._silent_until_s = self._now_s + silent_s
                 self._now_s = at_s
                 step()
                 heapq.heapreplace(steps, (at_s + every_s, order, step, every_s))
@@ -112,7 +116,9 @@
         self._summaries: dict[int, dict[str, tuple[int, int]]] = {}
 
     def _report(self, number: int) -> None:
-        self._usage[number] = self._vms[number].usage()
+        usage = self._vms[number].usage()
+        if self._now_s >= self._silent_until_s:
+            self._usage[number] = usage
 
     def _summarise(self, region: int) -> None:
         reports = [
