Expect a rise of demand to go on while reports of it are under way

Cause: reports of the demand are up to 2 s old, so the VMs take a rise for the demand that it had begun with. The rise above its average, without what independent requests vary by, is now taken to go on for as long as reports are late.

--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -35,6 +36,10 @@
 # Maximum time for which an excess is paid back; bounds how far below zero the
 # level may fall.
 MAX_DEBT_S = 5.0
+# Time constant of the average that tells whether demand rises, and multiple of
+# the rise that is expected to follow for each second that reports are late.
+DEMAND_TIME_CONSTANT_S = 1.0
+RISE_PER_S = 4.0
 # Time constant of the average of what all VMs admit.
 SPENT_TIME_CONSTANT_S = 2.0
 # Time after its start in which a VM does not know the demand on the others, and
@@ -127,6 +132,7 @@
         self._is_relaxed = True
         self._reporting_fraction = 1.0
         self._demand_per_s = 0.0
+        self._mean_demand_per_s = 0.0
         self._reporting = 0
         self._unreachable = 0
         self._updated_s: float | None = None
@@ -185,11 +191,11 @@
         self._level = max(floor, self._level - spent)
         self._even_share = 1.0 / vms
         total_demand = own.demand_per_s + peers.demand_per_s
-        self._demand_per_s = total_demand
+        self._measure_demand(total_demand, now_s)
         self._reporting = reporting
         self._unreachable = unreachable
         self._updated_s = now_s
-        self._is_relaxed = total_demand <= (
+        self._is_relaxed = self._forecast_per_s <= (
             RELAXED_MAX_DEMAND * self._rate
             + RELAXED_EXCESS_PER_S * self._excess
         )
@@ -250,7 +256,7 @@
 
         It is the same at all VMs, however few requests each of them receives.
         """
-        demand_per_s = self._demand_per_s
+        demand_per_s = self._forecast_per_s
         supply = self._level
         if now_s - self._created_s < UNKNOWN_DEMAND_S:
             demand_per_s = max(demand_per_s, ASSUMED_DEMAND * self._rate)
@@ -260,6 +266,23 @@
         expected = demand_per_s * self._report_delay_s
         return supply / expected if expected > 0.0 else 1.0
 
+    def _measure_demand(self, demand_per_s: float, now_s: float) -> None:
+        """Updates the demand of all VMs and its average."""
+        elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
+        smoothing = min(1.0, elapsed_s / DEMAND_TIME_CONSTANT_S)
+        self._mean_demand_per_s += smoothing * (
+            demand_per_s - self._mean_demand_per_s
+        )
+        self._demand_per_s = demand_per_s
+
+    @property
+    def _forecast_per_s(self) -> float:
+        """Demand of all VMs by the time their reports arrive."""
+        mean = self._mean_demand_per_s
+        # Independent requests vary by the square root of their number.
+        rise = max(0.0, self._demand_per_s - mean - math.sqrt(mean))
+        return self._demand_per_s + RISE_PER_S * self._report_delay_s * rise
+
     def _measure_spending(self, spent: int, now_s: float) -> None:
         """Updates the average of what all VMs admit per second."""
         elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -149,3 +149,14 @@
         lambda _: 4.3 * usual, seconds=16, restart_s=10, silent_s=1.0
     )
     assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
+
+
+@pytest.mark.parametrize("usual", [6.0, 12.0, 20.0])
+@pytest.mark.parametrize("seed", [1, 2, 8])
+def test_limit_holds_during_a_sudden_burst_through_195_vms(usual, seed):
+    limit = 1.6 * usual
+    fleet = quota_fleet.QuotaFleet(195, limit, seed)
+    decisions = fleet.run(
+        lambda at_s: usual if at_s < 8 else 8 * usual, seconds=14
+    )
+    assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
