Count VMs, and what they withheld, once when heartbeats are lost

Three faults of one account of VMs: - A summary of 60 VMs counted as one report, so that a VM that missed 50 others of its region refilled a limit by a fifth of the rate instead of three quarters. - The refill withheld for VMs that are not heard was never given back, but what they had admitted was charged when they were heard again. - The probability of admitting a request took the demand that was heard for all of it. A large organisation also needs more than one such request for each report of a VM.

--- a/src/bramleyworks/cli/report.py
+++ b/src/bramleyworks/cli/report.py
@@ -133,8 +133,8 @@
         f"limit: {limit['rate_per_s']} requests/s, {limit['demand_per_s']}"
         f" demanded; {limit['level']} left for {limit['vms']} VMs and"
         f" {limit['unreachable']} unreachable, a share of {limit['share']} for"
-        f" this VM, {limit['pending']} not reported, first ones admitted with"
-        f" probability {limit['first_chance']}; {reported}"
+        f" this VM, {limit['pending']} not reported; others admitted with"
+        f" probability {limit['chance']}; {reported}"
     )
 
 
--- a/src/bramleyworks/gateway/gateway.py
+++ b/src/bramleyworks/gateway/gateway.py
@@ -511,6 +511,7 @@
             max(0, vm_count - covered),
             self._peers.propagation_s,
             sources,
+            covered - 1,
         )
         self._cluster.moves.merge_reports(
             [b.moves for b in heartbeats], min(1.0, covered / max(1, vm_count))
--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -164,6 +164,7 @@
         unreachable_vms: int,
         lag_s: float,
         sources: Mapping[str, str] | None = None,
+        reporting_vms: int | None = None,
     ) -> None:
         """Updates the limits with the usage reported by peers.
 
@@ -173,6 +174,8 @@
             unreachable_vms: VMs that share the limits but send no reports.
             lag_s: Time after which peers have received what this VM reported.
             sources: VM and incarnation that reports for a region, by region.
+            reporting_vms: VMs whose usage is in the reports, None if each
+                report is of one VM.
         """
         now_s = self._clock()
         while len(self._reported) > 1 and self._reported[1][0] <= now_s - lag_s:
@@ -181,6 +184,8 @@
         if self._reported and self._reported[0][0] <= now_s - lag_s:
             own_usage = self._reported[0][1]
         self._peers.update(peers, sources, now_s)
+        if reporting_vms is None:
+            reporting_vms = self._peers.peer_count
         for name, limit in self._limits.items():
             limit.update(
                 # Own usage is taken as old as that of the peers, so that the
@@ -189,7 +194,7 @@
                 peers=_decode_usage(
                     (self._peers.take_admitted(name), self._peers.demand(name))
                 ),
-                reporting=self._peers.peer_count,
+                reporting=reporting_vms,
                 unreachable=unreachable_vms,
                 now_s=now_s,
                 report_delay_s=lag_s,
--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -73,12 +73,13 @@
 
     Attributes:
         rate_per_s: Requests per second for all VMs together.
-        demand_per_s: Requests per second that all VMs reported lately.
+        demand_per_s: Requests per second that all VMs are expected to get, by
+            what was reported lately.
         level: Requests that all VMs together may still admit.
         share: Fraction of the level that this VM may use.
-        first_chance: Probability of admitting a request if none is pending.
+        chance: Probability of admitting a request beyond the share.
         pending: Requests that this VM admitted and peers do not know yet.
-        vms: Number of VMs and summaries that report, with this one.
+        vms: Number of VMs that report, with this one.
         unreachable: Number of further VMs, whose reports are missing.
         age_s: Seconds since the reports were last taken into account, None
             before the first time.
@@ -88,7 +89,7 @@
     demand_per_s: float
     level: float
     share: float
-    first_chance: float
+    chance: float
     pending: int
     vms: int
     unreachable: int
@@ -131,6 +132,8 @@
         self._even_share = 0.0
         self._is_relaxed = True
         self._reporting_fraction = 1.0
+        # What was not refilled since VMs that did not report may have used it.
+        self._withheld = 0.0
         self._demand_per_s = 0.0
         self._mean_demand_per_s = 0.0
         self._reporting = 0
@@ -174,7 +177,7 @@
             peers: What all peers together admitted since the last update, and
                 their present demand. What a peer admitted before its first
                 report is accounted for in the initial level.
-            reporting: Number of peers, or summaries, that report.
+            reporting: Number of peers whose requests the reports count.
             unreachable: Number of further peers that may admit requests but
                 whose reports are not received.
             now_s: Monotonic time in seconds.
@@ -182,16 +185,16 @@
         """
         self._report_delay_s = report_delay_s
         vms = reporting + 1 + unreachable
-        self._reporting_fraction = (reporting + 1) / vms
         spent = own.admitted - self._own_reported + peers.admitted
         self._own_reported = own.admitted
         self._measure_spending(spent, now_s)
         self._refill(now_s)
+        returned = self._release_withheld((reporting + 1) / vms)
         floor = -self._burst - MAX_DEBT_S * self._rate
-        self._level = max(floor, self._level - spent)
+        self._level = max(floor, self._level - max(0.0, spent - returned))
         self._even_share = 1.0 / vms
         total_demand = own.demand_per_s + peers.demand_per_s
-        self._measure_demand(total_demand, now_s)
+        self._measure_demand(total_demand * vms / (reporting + 1), now_s)
         self._reporting = reporting
         self._unreachable = unreachable
         self._updated_s = now_s
@@ -220,8 +223,10 @@
             allowed = max(
                 RELAXED_MIN_REQUESTS, spread, RELAXED_SHARE_FACTOR * fair
             )
+        # Twice this VM's part of what is admitted until reports arrive.
+        usual = 2.0 * self._even_share * self._rate * self._report_delay_s
         if pending + 1 <= allowed or (
-            not pending and self._draw() < self._first_chance(now_s)
+            pending < max(1.0, usual) and self._draw() < self._chance(now_s)
         ):
             self._own_admitted += 1
             return 0.0
@@ -235,7 +240,7 @@
             demand_per_s=round(self._demand_per_s, 1),
             level=round(self._level, 2),
             share=round(self._share, 4),
-            first_chance=round(self._first_chance(now_s), 3),
+            chance=round(self._chance(now_s), 3),
             pending=self._own_admitted - self._own_reported,
             vms=self._reporting + 1,
             unreachable=self._unreachable,
@@ -251,8 +256,8 @@
         if self._own_admitted > self._own_reported:
             self._own_admitted -= 1
 
-    def _first_chance(self, now_s: float) -> float:
-        """Returns the probability of admitting a request if none is pending.
+    def _chance(self, now_s: float) -> float:
+        """Returns the probability of admitting a request beyond the share.
 
         It is the same at all VMs, however few requests each of them receives.
         """
@@ -266,6 +271,25 @@
         expected = demand_per_s * self._report_delay_s
         return supply / expected if expected > 0.0 else 1.0
 
+    def _release_withheld(self, reporting_fraction: float) -> float:
+        """Returns what was withheld for VMs that report again.
+
+        They report what they used of it, which must not be charged twice.
+
+        Args:
+            reporting_fraction: Fraction of the VMs that report now.
+        """
+        before, self._reporting_fraction = (
+            self._reporting_fraction,
+            reporting_fraction,
+        )
+        if reporting_fraction <= before:
+            return 0.0
+        part = (reporting_fraction - before) / (1.0 - before)
+        released = part * self._withheld
+        self._withheld -= released
+        return released
+
     def _measure_demand(self, demand_per_s: float, now_s: float) -> None:
         """Updates the demand of all VMs and its average."""
         elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
@@ -299,7 +323,11 @@
         """Refills the bucket; VMs that do not report use their part of it."""
         elapsed_s = max(0.0, now_s - self._refilled_s)
         self._refilled_s = now_s
-        added = elapsed_s * self._rate * self._reporting_fraction
+        refill = elapsed_s * self._rate
+        added = refill * self._reporting_fraction
+        self._withheld = min(
+            MAX_DEBT_S * self._rate, self._withheld + refill - added
+        )
         # Requests that are not reported yet will be taken off later.
         most = self._burst + self._unreported()
         self._level = min(most, self._level + added)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -160,3 +160,16 @@
         lambda at_s: usual if at_s < 8 else 8 * usual, seconds=14
     )
     assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
+
+
+@pytest.mark.parametrize("vms", [27, 195])
+@pytest.mark.parametrize("usual", [12.0, 60.0])
+@pytest.mark.parametrize("seed", range(2))
+def test_lost_heartbeats_do_not_cost_an_organisation_its_rate(vms, usual, seed):
+    limit = 1.6 * usual
+    fleet = quota_fleet.QuotaFleet(vms, limit, seed)
+    decisions = fleet.run(
+        lambda _: 4.3 * usual, seconds=20, unheard=(8.0, 12.0)
+    )
+    assert quota_fleet.admitted(decisions, 8, 20) >= 0.8 * limit * 12
+    assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import heapq
+import math
 import random
 from collections.abc import Callable
 
@@ -65,6 +66,7 @@
         seconds: float,
         restart_s: float | None = None,
         silent_s: float = 0.0,
+        unheard: tuple[float, float] = (math.inf, math.inf),
     ) -> list[Decision]:
         """Sends requests to random VMs and returns the decisions.
 
@@ -73,7 +75,10 @@
             seconds: Length of the run.
             restart_s: Time at which all VMs start anew, None for never.
             silent_s: Time after it in which VMs do not hear each other.
+            unheard: Time from which, and until which, each VM of a region
+                hears a fifth of it only.
         """
+        self._unheard = unheard
         steps: list[tuple[float, int, Callable[[], None], float]] = []
 
         def repeat(step: Callable[[], None], every_s: float) -> None:
@@ -114,37 +119,56 @@
             vm.prepare({NAME: self._org})
         self._usage: dict[int, dict[str, tuple[int, int]]] = {}
         self._summaries: dict[int, dict[str, tuple[int, int]]] = {}
+        # VMs that a summary covers, and the last counts of all that were heard.
+        self._covered: dict[int, int] = {}
+        self._known: dict[int, int] = {}
 
     def _report(self, number: int) -> None:
         usage = self._vms[number].usage()
         if self._now_s >= self._silent_until_s:
             self._usage[number] = usage
 
-    def _summarise(self, region: int) -> None:
-        reports = [
-            usage.get(NAME, (0, 0))
-            for number, usage in self._usage.items()
+    def _heard(self, region: int, receiver: int) -> list[int]:
+        """Returns the VMs of a region that one of its VMs hears."""
+        start_s, end_s = self._unheard
+        is_lossy = start_s <= self._now_s < end_s
+        return [
+            number
+            for number in self._usage
             if number % self._regions == region
+            and not (is_lossy and (number // self._regions + receiver) % 5)
         ]
-        if reports:
+
+    def _summarise(self, region: int) -> None:
+        heard = self._heard(region, region)
+        for number in heard:
+            self._known[number] = self._usage[number].get(NAME, (0, 0))[0]
+        if heard:
+            members = [n for n in self._known if n % self._regions == region]
+            self._covered[region] = len(heard)
             self._summaries[region] = {
-                NAME: (sum(a for a, _ in reports), sum(d for _, d in reports))
+                NAME: (
+                    sum(self._known[n] for n in members),
+                    sum(self._usage[n].get(NAME, (0, 0))[1] for n in heard),
+                )
             }
 
     def _update(self, number: int) -> None:
         own = number % self._regions
         peers = {
-            f"{n} {self._life}": usage
-            for n, usage in self._usage.items()
-            if n != number and n % self._regions == own
+            f"{n} {self._life}": self._usage[n]
+            for n in self._heard(own, number)
+            if n != number
         }
-        covered = len(peers) + 1
+        reporting = len(peers)
         for region, summary in self._summaries.items():
             if region != own:
                 peers[f"region {region}"] = summary
-                covered += len(self._numbers) // self._regions
-        unreachable = max(0, len(self._numbers) - covered)
-        self._vms[number].update_peers(peers, unreachable, self._lag_s)
+                reporting += self._covered[region]
+        unreachable = max(0, len(self._numbers) - reporting - 1)
+        self._vms[number].update_peers(
+            peers, unreachable, self._lag_s, reporting_vms=reporting
+        )
 
 
 def worst_window(decisions: list[Decision]) -> int:
