Admit nothing by chance while a limit is in debt

Found when reading the diff; no caller saw it.

test_debt_is_paid_back_before_a_request_after_a_pause failed before and passes now.

--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -5,7 +5,7 @@
 last report, so until the next one a VM may admit only its share of the level.
 A level below zero is refilled before anything else is admitted. Where shares
 are below one request, which VM receives the next request is not known, and each
-VM admits the first one with the probability that admits the rate in sum. The
+VM admits a few with the probability that admits the rate in sum. The
 design cases are an organisation that suddenly sends eight times its usual rate
 through all VMs, with a limit of 1.6 times its usual rate, and one that goes on
 to send several times its limit through hundreds of VMs.
@@ -263,11 +263,12 @@
         """
         demand_per_s = self._forecast_per_s
         supply = self._level
+        if supply <= 0.0:
+            return 0.0
         if now_s - self._created_s < UNKNOWN_DEMAND_S:
             demand_per_s = max(demand_per_s, ASSUMED_DEMAND * self._rate)
-            if self._level > 0.0:
-                # The level refills only as far as peers report.
-                supply += self._rate * self._report_delay_s
+            # The level refills only as far as peers report.
+            supply += self._rate * self._report_delay_s
         expected = demand_per_s * self._report_delay_s
         return supply / expected if expected > 0.0 else 1.0
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -7,6 +7,7 @@
 
 from bramleyworks.gateway import organisation
 from bramleyworks.gateway import quotas
+from bramleyworks.policy import shared_limit
 
 WINDOW_S = 5.0
 OVER = 0.1
@@ -108,6 +109,15 @@
     assert admitted <= 0.75 * 100 + SLACK
 
 
+def test_debt_is_paid_back_before_a_request_after_a_pause():
+    limit = shared_limit.SharedLimit(10.0, 10.0, 30.0, 0.0)
+    none = shared_limit.Usage(0, 0.0)
+    limit.update(none, shared_limit.Usage(50, 0.0), 9, 0, 0.1, 1.0)
+    assert limit.admit(4.0) > 0.0
+    limit.update(none, none, 9, 0, 6.0, 1.0)
+    assert limit.admit(6.0) == 0.0
+
+
 @pytest.mark.parametrize("vms", [9, 27, 195])
 @pytest.mark.parametrize("usual", [3.0, 12.0, 60.0])
 @pytest.mark.parametrize("seed", range(3))
