Let a region count as one where a VM may exceed its share of a limit

Cause: counts VMs instead of summaries for the account of a limit, and with it for what a VM may admit beyond its share.

--- a/src/bramleyworks/gateway/quotas.py
+++ b/src/bramleyworks/gateway/quotas.py
@@ -198,6 +198,7 @@
                 unreachable=unreachable_vms,
                 now_s=now_s,
                 report_delay_s=lag_s,
+                reports=self._peers.peer_count,
             )
 
 
--- a/src/bramleyworks/policy/shared_limit.py
+++ b/src/bramleyworks/policy/shared_limit.py
@@ -130,6 +130,9 @@
         self._own_admitted = 0
         self._share = 0.0
         self._even_share = 0.0
+        # Part of what is left that a VM may use alone if there is enough. A
+        # region counts as one, since few of its VMs do so at a time.
+        self._relaxed_share = 0.0
         self._is_relaxed = True
         self._reporting_fraction = 1.0
         # What was not refilled since VMs that did not report may have used it.
@@ -169,6 +172,7 @@
         unreachable: int,
         now_s: float,
         report_delay_s: float,
+        reports: int | None = None,
     ) -> None:
         """Updates the level and this VM's share from the peers' reports.
 
@@ -182,6 +186,7 @@
                 whose reports are not received.
             now_s: Monotonic time in seconds.
             report_delay_s: Time until all peers know what this VM admits.
+            reports: Number of reports, None if each is of one peer.
         """
         self._report_delay_s = report_delay_s
         vms = reporting + 1 + unreachable
@@ -193,6 +198,9 @@
         floor = -self._burst - MAX_DEBT_S * self._rate
         self._level = max(floor, self._level - max(0.0, spent - returned))
         self._even_share = 1.0 / vms
+        self._relaxed_share = 1.0 / (
+            (reporting if reports is None else reports) + 1 + unreachable
+        )
         total_demand = own.demand_per_s + peers.demand_per_s
         self._measure_demand(total_demand * vms / (reporting + 1), now_s)
         self._reporting = reporting
@@ -218,8 +226,8 @@
         allowed = self._share * self._level
         free = self._level - self._unreported()
         if self._is_relaxed and free >= RELAXED_MIN_LEVEL * self._burst:
-            fair = max(self._share, self._even_share) * free
-            spread = RELAXED_EXCESS_FACTOR * self._excess * self._even_share
+            fair = max(self._share, self._relaxed_share) * free
+            spread = RELAXED_EXCESS_FACTOR * self._excess * self._relaxed_share
             allowed = max(
                 RELAXED_MIN_REQUESTS, spread, RELAXED_SHARE_FACTOR * fair
             )
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -183,3 +183,12 @@
     )
     assert quota_fleet.admitted(decisions, 8, 20) >= 0.8 * limit * 12
     assert quota_fleet.worst_window(decisions) <= quota_fleet.allowed(limit)
+
+
+def test_callers_that_send_several_requests_at_once_are_served_below_the_rate():
+    served = {}
+    for usual in (12.0, 60.0, 110.0):
+        fleet = quota_fleet.QuotaFleet(195, 1.6 * usual, seed=0)
+        decisions = fleet.run(lambda _, rate=usual: rate, 14, at_once=3)
+        served[usual] = quota_fleet.share_admitted(decisions, 6, 14)
+    assert min(served.values()) >= 0.75, served
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -67,6 +67,7 @@
         restart_s: float | None = None,
         silent_s: float = 0.0,
         unheard: tuple[float, float] = (math.inf, math.inf),
+        at_once: int = 1,
     ) -> list[Decision]:
         """Sends requests to random VMs and returns the decisions.
 
@@ -77,6 +78,8 @@
             silent_s: Time after it in which VMs do not hear each other.
             unheard: Time from which, and until which, each VM of a region
                 hears a fifth of it only.
+            at_once: Number of requests that a caller sends to the same VM one
+                after the other.
         """
         self._unheard = unheard
         steps: list[tuple[float, int, Callable[[], None], float]] = []
@@ -105,7 +108,8 @@
                 step()
                 heapq.heapreplace(steps, (at_s + every_s, order, step, every_s))
             self._now_s = arrival_s
-            vm = self._rng.choice(self._vms)
+            if len(decisions) % at_once == 0:
+                vm = self._rng.choice(self._vms)
             decisions.append(Decision(arrival_s, vm.admit(self._org) == 0.0))
         return decisions
 
