--- a/review/tools-2/rig.py
+++ b/review/tools-2/rig.py
@@ -109,7 +109,9 @@
 )
 
 
-def config(version, rules=RULES, keys=(KEY,), services=("balcao",), limits=None):
+def config(
+    version, rules=RULES, keys=(KEY,), services=("balcao",), limits=None
+):
     """Returns a configuration with the limits of the small sites."""
     return {
         "version": f"r{version}",
@@ -154,9 +156,10 @@
 def free_port(ip):
     """Returns a port that is free now for TCP and UDP."""
     while True:
-        with socket.socket() as tcp, socket.socket(
-            socket.AF_INET, socket.SOCK_DGRAM
-        ) as udp:
+        with (
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
             tcp.bind((ip, 0))
             port = tcp.getsockname()[1]
             with contextlib.suppress(OSError):
@@ -367,9 +370,7 @@
             if server.is_registered:
                 server.seq += 1
                 with contextlib.suppress(OSError, TimeoutError):
-                    await self.write(
-                        {f"servers/{server.id}": server.entry()}
-                    )
+                    await self.write({f"servers/{server.id}": server.entry()})
             await asyncio.sleep(BEAT_S)
 
     async def add_vm(self, number, zone="norte-a"):
@@ -467,7 +468,8 @@
     async def start(self, zone, ip="127.0.3.1", port=0):
         self.zone = zone
         self._listening = await asyncio.start_server(self._serve, ip, port)
-        self.addr = "%s:%d" % self._listening.sockets[0].getsockname()[:2]
+        host, port = self._listening.sockets[0].getsockname()[:2]
+        self.addr = f"{host}:{port}"
 
     def stop(self):
         """Ends as a process that is killed."""
@@ -560,6 +562,10 @@
             await self._limit.acquire()
         finally:
             self._waiting -= 1
+        if reader.at_eof() or reader.exception() is not None:
+            # A request is dropped when its connection closes.
+            self._limit.release()
+            return False
         self._running += 1
         try:
             self.runs.append((attempt, method, target, headers, body))
