--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 if [ ! -d target/deps ]; then
   python3 -m pip install -q -U --target target/deps -r requirements.txt
 fi
-python3 - review/tools-2/rig.py review/6/case.py review/7/case.py \
+python3 - review/rig_2.py review/6/case.py review/7/case.py \
   review/8/case.py review/9/case.py review/10/case.py \
   review/10/callers.py review/10/endless.py <<'PY'
 import pathlib
--- a/review/tools-2/rig.py
+++ b/review/rig_2.py
@@ -20,7 +20,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 KEY = "key-of-tenant-one"
 HOST = "shop.example"
 TENANT = "tenant-one"
